--- /dev/null
+++ b/model/src/main/kotlin/dogwoodgrade/model/InstanceName.kt
@@ -0,0 +1,27 @@
+package dogwoodgrade.model
+
+/**
+ * Names an instance, a machine in a pool that runs one endpoint.
+ *
+ * A name has 1 to 63 characters: lower-case letters, digits and inner hyphens.
+ *
+ * @throws IllegalArgumentException if [text] is not such a name; use [parseOrNull] for untrusted text
+ */
+@JvmInline
+public value class InstanceName(public val text: String) : Comparable<InstanceName> {
+    init {
+        require(isValidName(text)) {
+            "\"$text\" is not a valid instance name: expected 1 to $MAX_NAME_LENGTH characters [a-z0-9-]"
+        }
+    }
+
+    override fun compareTo(other: InstanceName): Int = text.compareTo(other.text)
+
+    /** Returns the name as written in records and settings. */
+    override fun toString(): String = text
+
+    public companion object {
+        /** Returns the name that [text] stands for, or `null` if it is not a valid name. */
+        public fun parseOrNull(text: String): InstanceName? = if (isValidName(text)) InstanceName(text) else null
+    }
+}
