Add the operators' state and its deterministic fold

Cause: every process has to derive the same configuration from the log.

Change: teams, keys, pools, instances, zones and documents with compare-and-set on versions, the availability budget checked by the fold, one pool per instance by construction.

--- /dev/null
+++ b/configuration/src/main/kotlin/dogwoodgrade/configuration/AvailabilityBudget.kt
@@ -0,0 +1,42 @@
+package dogwoodgrade.configuration
+
+import dogwoodgrade.model.Outcome
+import dogwoodgrade.model.Outcome.Failure
+import dogwoodgrade.model.Outcome.Success
+import dogwoodgrade.model.PoolName
+import dogwoodgrade.model.ResultCode
+
+/**
+ * Tells whether planned work may take [instance] out of use.
+ *
+ * Instances that are draining, that failed or whose zone is out of service count as unavailable. An instance that is
+ * unavailable already may be drained, as this takes nothing away from the pool. Planned work of a pool stays in one
+ * availability zone at a time, so that it never adds to a failure in a second one.
+ */
+public fun ConfigurationState.checkDrain(instance: Instance): Outcome<Unit> {
+    if (!isUsable(instance)) return Success(Unit)
+    val pool =
+        pools[instance.pool] ?: return Failure(ResultCode.UnknownPool, "pool ${instance.pool} does not exist")
+    val members = instancesOf(pool.name)
+    val unavailable = members.count { !isUsable(it) } + 1
+    val otherZone = members.firstOrNull { it.draining && it.zone != instance.zone && isInService(it.zone) }
+    return when {
+        unavailable > pool.availabilityBudget ->
+            Failure(
+                ResultCode.BudgetExceeded,
+                "pool ${pool.name} would have $unavailable unavailable instances, above ${pool.availabilityBudget}",
+            )
+        otherZone != null ->
+            Failure(
+                ResultCode.BudgetExceeded,
+                "pool ${pool.name} has planned work in zone ${otherZone.zone}; zone ${instance.zone} has to wait",
+            )
+        else -> Success(Unit)
+    }
+}
+
+/** Returns how many more usable instances of [pool] may be taken out of use now; 0 or more. */
+public fun ConfigurationState.remainingBudget(pool: PoolName): Int {
+    val budget = pools[pool]?.availabilityBudget ?: return 0
+    return (budget - instancesOf(pool).count { !isUsable(it) }).coerceAtLeast(0)
+}
--- /dev/null
+++ b/configuration/src/main/kotlin/dogwoodgrade/configuration/ConfigurationState.kt
@@ -0,0 +1,55 @@
+package dogwoodgrade.configuration
+
+import dogwoodgrade.model.AvailabilityZone
+import dogwoodgrade.model.InstanceName
+import dogwoodgrade.model.KeyDigest
+import dogwoodgrade.model.PoolName
+import dogwoodgrade.model.ServiceName
+import dogwoodgrade.model.TeamName
+import dogwoodgrade.model.Version
+
+/**
+ * The operators' state: a pure function of the accepted changes.
+ *
+ * Every process folds the same changes in the same order with [apply] and therefore has the same state at the same
+ * offset. An instance names its pool, so it is in exactly one pool.
+ */
+public data class ConfigurationState(
+    public val teams: Map<TeamName, Team>,
+    public val keys: Map<KeyDigest, TeamName>,
+    public val pools: Map<PoolName, Pool>,
+    public val instances: Map<InstanceName, Instance>,
+    public val zones: Map<AvailabilityZone, Zone>,
+    public val documents: Map<DocumentKey, Document>,
+) {
+    private val poolsByService: Map<ServiceName, Pool> by lazy { pools.values.associateBy(Pool::service) }
+
+    /**
+     * Returns the team that [key] was given to, or `null` if it was never given or was withdrawn.
+     *
+     * The look-up is by SHA-256 digest, so its timing tells nothing about a key that would be accepted.
+     */
+    public fun teamOf(key: KeyDigest): Team? = keys[key]?.let(teams::get)
+
+    /** Returns the pool that serves [service], or `null` if there is none. */
+    public fun poolOf(service: ServiceName): Pool? = poolsByService[service]
+
+    /** Returns the instances of [pool]. */
+    public fun instancesOf(pool: PoolName): List<Instance> = instances.values.filter { it.pool == pool }
+
+    /** Tells whether operators have [zone] in service. */
+    public fun isInService(zone: AvailabilityZone): Boolean = zones[zone]?.inService ?: true
+
+    /** Returns the version of [zone], 0 if no change of it was accepted. */
+    public fun versionOf(zone: AvailabilityZone): Version = zones[zone]?.version ?: Version.None
+
+    /** Tells whether [instance] takes new work as far as operators' state goes. */
+    public fun isUsable(instance: Instance): Boolean =
+        !instance.draining && !instance.failed && isInService(instance.zone)
+
+    public companion object {
+        /** The state before the first change. */
+        public val Empty: ConfigurationState =
+            ConfigurationState(emptyMap(), emptyMap(), emptyMap(), emptyMap(), emptyMap(), emptyMap())
+    }
+}
