--- /dev/null
+++ b/limits/src/main/kotlin/dogwoodgrade/limits/PermitPolicy.kt
@@ -0,0 +1,34 @@
+package dogwoodgrade.limits
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Local policy for moving permits. It affects only who holds permits, never the limit, so entries may use different
+ * policies, for example during a rollout.
+ *
+ * @property targets rule that divides the permits of a team
+ * @property floor permits that an idle member should hold, from the limit and the number of joined entries
+ * @property reportInterval shortest time between two reports of an entry, from the number of joined entries
+ * @property turnLength time for which the same members hold the permits of a team with fewer permits than members
+ * with demand. Without turns the last members would never serve the team; shorter turns cost more log records.
+ */
+public data class PermitPolicy(
+    public val targets: TargetRule = ::demandFirstTargets,
+    public val floor: (limit: Int, entries: Int) -> Int = ::halfOfEvenSplit,
+    public val reportInterval: (entries: Int) -> Duration = ::fleetReportInterval,
+    public val turnLength: Duration = 1.seconds,
+)
+
+/** Shortest time between two reports of one entry. */
+private val MIN_REPORT_INTERVAL = 200.milliseconds
+
+/** Time per report over the whole fleet; 12 ms keep the fleet at 83 reports per second, below the budget of 100. */
+private val FLEET_REPORT_SPACING = 12.milliseconds
+
+/** Returns half of an even split of [limit] over [entries], rounded down. */
+public fun halfOfEvenSplit(limit: Int, entries: Int): Int = limit / (2 * entries.coerceAtLeast(1))
+
+/** Returns 200 ms, or more when there are so many [entries] that the fleet would exceed its budget of reports. */
+public fun fleetReportInterval(entries: Int): Duration = maxOf(MIN_REPORT_INTERVAL, FLEET_REPORT_SPACING * entries)
--- /dev/null
+++ b/limits/src/main/kotlin/dogwoodgrade/limits/PermitReport.kt
@@ -0,0 +1,35 @@
+package dogwoodgrade.limits
+
+import dogwoodgrade.model.EntryIdentity
+import dogwoodgrade.model.TeamName
+
+/** Largest number of teams in one report; the design allows for 350 teams. */
+public const val MAX_TEAMS_PER_REPORT: Int = 512
+
+/** Largest limit of a team and largest count in a report; 8,000 workers with 8 slots need 64,000. */
+public const val MAX_PERMITS: Int = 1_000_000
+
+/**
+ * What an entry gives back and asks for, for one team.
+ *
+ * @property release number of held permits that become free
+ * @property take number of permits to take from the free ones; fewer are granted if fewer are free
+ * @property wanted the sender's total demand: tasks that run plus requests that wait
+ */
+public data class PermitChange(
+    public val release: Int,
+    public val take: Int,
+    public val wanted: Int,
+)
+
+/**
+ * The body of a `permits` record.
+ *
+ * The first report of an entry has sequence 1. A report that is appended again keeps its sequence and content, so the
+ * fold can drop the copy.
+ */
+public data class PermitReport(
+    public val entry: EntryIdentity,
+    public val sequence: Long,
+    public val changes: Map<TeamName, PermitChange>,
+)
