--- /dev/null
+++ b/jobs/src/main/kotlin/dogwoodgrade/jobs/ApplyJobChange.kt
@@ -0,0 +1,194 @@
+package dogwoodgrade.jobs
+
+import dogwoodgrade.jobs.JobChange.Accept
+import dogwoodgrade.jobs.JobChange.Cancel
+import dogwoodgrade.jobs.JobChange.Checkpoint
+import dogwoodgrade.jobs.JobChange.Claim
+import dogwoodgrade.jobs.JobChange.EndEntry
+import dogwoodgrade.jobs.JobChange.Finish
+import dogwoodgrade.model.EntryIdentity
+import dogwoodgrade.model.Outcome
+import dogwoodgrade.model.Outcome.Failure
+import dogwoodgrade.model.Outcome.Success
+import dogwoodgrade.model.ResultCode
+import dogwoodgrade.model.TeamName
+import kotlin.io.encoding.Base64
+
+/**
+ * Applies [change] to this ledger.
+ *
+ * The function is deterministic. It trusts that records of an entry that was declared ended are refused before it,
+ * and that an [EndEntry] follows from an accepted record about that entry.
+ */
+public fun JobLedger.apply(change: JobChange): Outcome<JobLedger> =
+    when (change) {
+        is Accept -> accept(change.request)
+        is Claim -> claim(change)
+        is Checkpoint -> checkpoint(change)
+        is Finish -> finish(change)
+        is Cancel -> cancel(change)
+        is EndEntry -> Success(endEntry(change.entry))
+    }
+
+private fun JobLedger.accept(request: JobRequest): Outcome<JobLedger> {
+    val size = decodedSizeOrNull(request.body)
+    return when {
+        request.identifier in unfinished || request.identifier in ended ->
+            Failure(ResultCode.AlreadyExists, "job ${request.identifier} exists")
+        size == null -> Failure(ResultCode.InvalidValue, "the body of job ${request.identifier} is not Base64 text")
+        size > JobRequest.MAX_BODY_BYTES ->
+            Failure(ResultCode.JobTooLarge, "the body has $size bytes, above ${JobRequest.MAX_BODY_BYTES}")
+        maxOf(request.path.length, request.contentType.length) > JobRequest.MAX_TEXT_LENGTH ->
+            Failure(ResultCode.InvalidValue, "path or content type exceeds ${JobRequest.MAX_TEXT_LENGTH} characters")
+        unfinishedOf(request.team) >= JobLedger.MAX_UNFINISHED_PER_TEAM ->
+            Failure(ResultCode.TooManyJobs, "team ${request.team} has ${JobLedger.MAX_UNFINISHED_PER_TEAM} jobs")
+        unfinished.size >= JobLedger.MAX_UNFINISHED ->
+            Failure(ResultCode.TooManyJobs, "all teams together have ${JobLedger.MAX_UNFINISHED} jobs")
+        unfinished.values.sumOf { it.request.body.length } + request.body.length > JobLedger.MAX_BODY_CHARACTERS ->
+            Failure(ResultCode.TooManyJobs, "the bodies of all jobs exceed ${JobLedger.MAX_BODY_CHARACTERS} characters")
+        else ->
+            Success(
+                copy(
+                    unfinished = unfinished + (request.identifier to Job(request, nextSequence)),
+                    nextSequence = nextSequence + 1,
+                ),
+            )
+    }
+}
+
+private fun JobLedger.claim(change: Claim): Outcome<JobLedger> =
+    withJob(change.job) { job ->
+        when (job.claim?.holder) {
+            null -> Success(replacing(job.copy(claim = JobClaim(change.holder), claims = job.claims + 1)))
+            change.holder -> Failure(ResultCode.StateUnchanged, "${change.holder} holds job ${change.job} already")
+            else -> Failure(ResultCode.JobAlreadyClaimed, "job ${change.job} is claimed by ${job.claim.holder}")
+        }
+    }
+
+private fun JobLedger.checkpoint(change: Checkpoint): Outcome<JobLedger> =
+    withHeldJob(change.job, change.holder) { job ->
+        val size = decodedSizeOrNull(change.checkpoint)
+        when {
+            size == null -> Failure(ResultCode.InvalidValue, "the checkpoint of job ${change.job} is not Base64 text")
+            size > JobResult.MAX_BODY_BYTES ->
+                Failure(ResultCode.JobTooLarge, "the checkpoint has $size bytes, above ${JobResult.MAX_BODY_BYTES}")
+            else -> Success(replacing(job.copy(checkpoint = change.checkpoint)))
+        }
+    }
+
+private fun JobLedger.finish(change: Finish): Outcome<JobLedger> =
+    withHeldJob(change.job, change.holder) { job ->
+        val size = decodedSizeOrNull(change.result.body)
+        when {
+            change.status !in 100..599 ->
+                Failure(ResultCode.InvalidValue, "status ${change.status} is not an HTTP status")
+            size == null -> Failure(ResultCode.InvalidValue, "the result of job ${change.job} is not Base64 text")
+            size > JobResult.MAX_BODY_BYTES || change.result.contentType.length > JobRequest.MAX_TEXT_LENGTH ->
+                Failure(ResultCode.JobTooLarge, "the result has $size bytes, above ${JobResult.MAX_BODY_BYTES}")
+            else -> Success(ending(listOf(job to JobEnding.Finished(change.status, change.result))))
+        }
+    }
+
+private fun JobLedger.cancel(change: Cancel): Outcome<JobLedger> =
+    withJob(change.job) { job ->
+        val claim = job.claim
+        when {
+            // A team learns nothing about the jobs of other teams.
+            job.request.team != change.team -> unknownJob(change.job)
+            claim == null -> Success(ending(listOf(job to JobEnding.Cancelled)))
+            !change.requestStop ->
+                Failure(ResultCode.JobAlreadyClaimed, "job ${change.job} is claimed by ${claim.holder}")
+            claim.stopRequested -> Failure(ResultCode.StateUnchanged, "job ${change.job} was asked to stop already")
+            else -> Success(replacing(job.copy(claim = claim.copy(stopRequested = true))))
+        }
+    }
+
+private fun JobLedger.endEntry(entry: EntryIdentity): JobLedger {
+    val (waiting, lost) =
+        unfinished.values
+            .filter { it.claim?.holder == entry }
+            .sortedBy(Job::sequence)
+            .partition { it.request.idempotent && it.claim?.stopRequested == false && it.claims < JobLedger.MAX_CLAIMS }
+    val freed = waiting.map { it.copy(claim = null) }
+    // A stopped idempotent job is cancelled; of any other job nobody can tell whether it ran to its end.
+    val endings =
+        lost.map { job ->
+            val cancelled = job.request.idempotent && job.claim?.stopRequested == true
+            job to if (cancelled) JobEnding.Cancelled else JobEnding.OutcomeUnknown(entry)
+        }
+    return copy(unfinished = unfinished + freed.associateBy { it.request.identifier }).ending(endings)
+}
+
+private fun JobLedger.ending(jobs: List<Pair<Job, JobEnding>>): JobLedger {
+    if (jobs.isEmpty()) return this
+    val added =
+        jobs.mapIndexed { index, (job, ending) ->
+            EndedJob(job.request.identifier, job.request.team, nextSequence + index, ending)
+        }
+    val identifiers = added.map(EndedJob::identifier)
+    return copy(
+        unfinished = unfinished - identifiers.toSet(),
+        ended = forgetOldest(ended + added.associateBy(EndedJob::identifier)),
+        nextSequence = nextSequence + jobs.size,
+    )
+}
+
+/** Drops the oldest job of the team with the most kept jobs, so that one team's burst keeps the others' results. */
+private fun forgetOldest(ended: Map<JobIdentifier, EndedJob>): Map<JobIdentifier, EndedJob> {
+    val excess = ended.size - JobLedger.MAX_ENDED
+    if (excess <= 0) return ended
+    val counts = ended.values.groupingBy(EndedJob::team).eachCountTo(HashMap())
+    val oldestFirst = HashMap<TeamName, Iterator<EndedJob>>()
+    val forgotten = HashSet<JobIdentifier>()
+    repeat(excess) {
+        val largest = counts.entries.minWith(compareBy({ -it.value }, { it.key }))
+        val team = largest.key
+        largest.setValue(largest.value - 1)
+        val jobs =
+            oldestFirst.getOrPut(team) {
+                ended.values
+                    .filter { it.team == team }
+                    .sortedBy(EndedJob::sequence)
+                    .iterator()
+            }
+        forgotten += jobs.next().identifier
+    }
+    return ended - forgotten
+}
+
+private inline fun JobLedger.withJob(
+    identifier: JobIdentifier,
+    change: (Job) -> Outcome<JobLedger>,
+): Outcome<JobLedger> =
+    unfinished[identifier]?.let(change) ?: when (ended[identifier]?.ending) {
+        null -> unknownJob(identifier)
+        is JobEnding.Finished -> Failure(ResultCode.JobAlreadyFinished, "job $identifier has finished")
+        is JobEnding.Cancelled -> Failure(ResultCode.JobCancelled, "job $identifier was cancelled")
+        is JobEnding.OutcomeUnknown ->
+            Failure(ResultCode.JobOutcomeUnknown, "the outcome of job $identifier is unknown; it is not run again")
+    }
+
+private inline fun JobLedger.withHeldJob(
+    identifier: JobIdentifier,
+    holder: EntryIdentity,
+    change: (Job) -> Outcome<JobLedger>,
+): Outcome<JobLedger> =
+    withJob(identifier) { job ->
+        if (job.claim?.holder == holder) {
+            change(job)
+        } else {
+            Failure(ResultCode.NotClaimHolder, "$holder does not hold the claim of job $identifier")
+        }
+    }
+
+private fun JobLedger.replacing(job: Job): JobLedger = copy(unfinished = unfinished + (job.request.identifier to job))
+
+private fun unknownJob(identifier: JobIdentifier): Failure =
+    Failure(ResultCode.UnknownJob, "job $identifier does not exist or was forgotten")
+
+private fun decodedSizeOrNull(text: String): Int? =
+    try {
+        Base64.decode(text).size
+    } catch (malformed: IllegalArgumentException) {
+        null
+    }
--- /dev/null
+++ b/jobs/src/main/kotlin/dogwoodgrade/jobs/JobIdentifier.kt
@@ -0,0 +1,29 @@
+package dogwoodgrade.jobs
+
+/**
+ * Identifies one job. The entry that accepts the job makes the identifier; it must not be used again.
+ *
+ * @throws IllegalArgumentException if [text] is not 1 to [MAX_LENGTH] printable ASCII characters without `/`; use
+ * [parseOrNull] for untrusted text
+ */
+@JvmInline
+public value class JobIdentifier(public val text: String) : Comparable<JobIdentifier> {
+    init {
+        require(isValid(text)) { "job identifier is not 1 to $MAX_LENGTH printable characters without '/'" }
+    }
+
+    override fun compareTo(other: JobIdentifier): Int = text.compareTo(other.text)
+
+    override fun toString(): String = text
+
+    public companion object {
+        /** Largest length, in characters. */
+        public const val MAX_LENGTH: Int = 64
+
+        /** Returns the identifier that [text] stands for, or `null` if it is not valid. */
+        public fun parseOrNull(text: String): JobIdentifier? = if (isValid(text)) JobIdentifier(text) else null
+
+        private fun isValid(text: String): Boolean =
+            text.length in 1..MAX_LENGTH && text.all { it in '!'..'~' && it != '/' }
+    }
+}
