--- /dev/null
+++ b/maintenance/src/test/kotlin/dogwoodgrade/maintenance/FiveWeeksTest.kt
@@ -0,0 +1,56 @@
+package dogwoodgrade.maintenance
+
+import dogwoodgrade.model.PoolName
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.days
+import kotlin.time.Duration.Companion.hours
+
+/** Five weeks of virtual time at the size to design for. The figures are printed for the decision record. */
+class FiveWeeksTest {
+    private val fleet = plannedFleet()
+    private val failures = FailureRate(100.0 / INSTANCES, 6.hours)
+
+    private fun run(name: String, policy: FleetPolicy): FleetResult =
+        runFleet(fleet, policy).also {
+            println("maintenance: $name: $it")
+            assertEquals(0, it.overBudgetDrains, "a drain exceeded a budget")
+            assertTrue(it.largestMovesInWave <= 1, "an instance was moved twice in a wave")
+        }
+
+    @Test
+    fun `every instance is maintained in five weeks and in far fewer waves than one at a time`() {
+        val schedule = MaintenanceSchedule(MaintenanceScope.Fleet, start, start + FleetPeriod, 1.hours)
+        val forecast = forecast(fleet, schedule, start, failures)
+        println("maintenance: forecast: ${forecast.waves} waves, late ${forecast.late.size}")
+        assertTrue(forecast.inTime)
+
+        val waves = run("waves", FleetPolicy(::planWave, toleratedLoss = 0))
+        val baseline = run("one at a time", FleetPolicy(::planOneAtATime, toleratedLoss = 0))
+        val tolerant = run("waves, one loss tolerated, 7 days", FleetPolicy(::planWave, toleratedLoss = 1, 7.days))
+
+        assertEquals(INSTANCES, waves.maintained)
+        assertTrue(assertNotNull(waves.finishedAfterHours) < FleetPeriod.inWholeHours)
+        assertTrue(baseline.maintained <= FleetPeriod.inWholeHours, "the baseline drains one instance an hour")
+        assertEquals(baseline.failures, waves.failures, "the runs have different failures")
+        assertTrue(tolerant.moves * waves.failures < waves.moves * tolerant.failures, "more moves for each failure")
+    }
+
+    @Test
+    fun `the buffer for a rack or a zone is compared with the fixed spare pool`() {
+        val spare = PoolName("p${POOLS - 1}")
+        val pools = fleet.pools.keys - spare
+        for (domain in FailureDomain.entries) {
+            for (tolerated in listOf(0, BUDGET)) {
+                val demand = BufferDemand(pools, domain) { tolerated }
+                val sized = sizeBuffer(fleet, demand)
+                val fixed = fixedBuffer(spare)(fleet, demand)
+                println("maintenance: buffer for one $domain, $tolerated tolerated: $sized, fixed: $fixed")
+                assertTrue(sized.survives)
+                assertTrue(fixed.instances >= sized.instances || !fixed.survives)
+            }
+        }
+    }
+}
