--- a/jobs/src/main/kotlin/dogwoodgrade/jobs/ApplyJobChange.kt
+++ b/jobs/src/main/kotlin/dogwoodgrade/jobs/ApplyJobChange.kt
@@ -44,12 +44,14 @@
             Failure(ResultCode.TooManyJobs, "team ${request.team} has ${JobLedger.MAX_UNFINISHED_PER_TEAM} jobs")
         unfinished.size >= JobLedger.MAX_UNFINISHED ->
             Failure(ResultCode.TooManyJobs, "all teams together have ${JobLedger.MAX_UNFINISHED} jobs")
-        unfinished.values.sumOf { it.request.body.length } + request.body.length > JobLedger.MAX_BODY_CHARACTERS ->
+        bodyCharacters + request.body.length > JobLedger.MAX_BODY_CHARACTERS ->
             Failure(ResultCode.TooManyJobs, "the bodies of all jobs exceed ${JobLedger.MAX_BODY_CHARACTERS} characters")
         else ->
             Success(
                 copy(
-                    unfinished = unfinished + (request.identifier to Job(request, nextSequence)),
+                    unfinished = unfinished.with(request.identifier, Job(request, nextSequence)),
+                    unfinishedByTeam = unfinishedByTeam.with(request.team, unfinishedOf(request.team) + 1),
+                    bodyCharacters = bodyCharacters + request.body.length,
                     nextSequence = nextSequence + 1,
                 ),
             )
@@ -116,7 +118,7 @@
             val cancelled = job.request.idempotent && job.claim?.stopRequested == true
             job to if (cancelled) JobEnding.Cancelled else JobEnding.OutcomeUnknown(entry)
         }
-    return copy(unfinished = unfinished + freed.associateBy { it.request.identifier }).ending(endings)
+    return freed.fold(this) { ledger, job -> ledger.replacing(job) }.ending(endings)
 }
 
 private fun JobLedger.ending(jobs: List<Pair<Job, JobEnding>>): JobLedger {
@@ -125,18 +127,23 @@
         jobs.mapIndexed { index, (job, ending) ->
             EndedJob(job.request.identifier, job.request.team, nextSequence + index, ending)
         }
-    val identifiers = added.map(EndedJob::identifier)
     return copy(
-        unfinished = unfinished - identifiers.toSet(),
-        ended = forgetOldest(ended + added.associateBy(EndedJob::identifier)),
+        unfinished = added.fold(unfinished) { map, job -> map.without(job.identifier) },
+        unfinishedByTeam =
+            added.fold(unfinishedByTeam) { map, job ->
+                val left = map.getValue(job.team) - 1
+                if (left == 0) map.without(job.team) else map.with(job.team, left)
+            },
+        bodyCharacters = bodyCharacters - jobs.sumOf { (job, _) -> job.request.body.length },
+        ended = forgetOldest(added.fold(ended) { map, job -> map.with(job.identifier, job) }),
         nextSequence = nextSequence + jobs.size,
     )
 }
 
-/** Drops the oldest job of the team with the most kept jobs, so that one team's burst keeps the others' results. */
+/** Drops the oldest jobs of the teams with the most kept jobs, so that a burst of one keeps the others' results. */
 private fun forgetOldest(ended: Map<JobIdentifier, EndedJob>): Map<JobIdentifier, EndedJob> {
-    val excess = ended.size - JobLedger.MAX_ENDED
-    if (excess <= 0) return ended
+    if (ended.size <= JobLedger.MAX_ENDED) return ended
+    val excess = ended.size - JobLedger.KEPT_ENDED
     val counts = ended.values.groupingBy(EndedJob::team).eachCountTo(HashMap())
     val oldestFirst = HashMap<TeamName, Iterator<EndedJob>>()
     val forgotten = HashSet<JobIdentifier>()
@@ -153,7 +160,7 @@
             }
         forgotten += jobs.next().identifier
     }
-    return ended - forgotten
+    return forgotten.fold(ended) { map, identifier -> map.without(identifier) }
 }
 
 private inline fun JobLedger.withJob(
@@ -181,7 +188,7 @@
         }
     }
 
-private fun JobLedger.replacing(job: Job): JobLedger = copy(unfinished = unfinished + (job.request.identifier to job))
+private fun JobLedger.replacing(job: Job): JobLedger = copy(unfinished = unfinished.with(job.request.identifier, job))
 
 private fun unknownJob(identifier: JobIdentifier): Failure =
     Failure(ResultCode.UnknownJob, "job $identifier does not exist or was forgotten")
--- a/jobs/src/test/kotlin/dogwoodgrade/jobs/JobLedgerProperty.kt
+++ b/jobs/src/test/kotlin/dogwoodgrade/jobs/JobLedgerProperty.kt
@@ -42,6 +42,9 @@
             history += next
             assertEquals(accepted.keys, next.unfinished.keys + next.ended.keys)
             assertTrue(next.unfinished.keys.none { it in next.ended })
+            val jobs = next.unfinished.values
+            assertEquals(jobs.groupingBy { it.request.team }.eachCount(), next.unfinishedByTeam)
+            assertEquals(jobs.sumOf { it.request.body.length }, next.bodyCharacters)
         }
         for ((job, count) in claims) {
             assertTrue(
