--- a/maintenance/src/main/kotlin/dogwoodgrade/maintenance/DrainProgress.kt
+++ b/maintenance/src/main/kotlin/dogwoodgrade/maintenance/DrainProgress.kt
@@ -71,6 +71,19 @@
     }
 }
 
+/**
+ * The entries whose requests may run on a draining instance.
+ *
+ * @property joined all entries that joined and neither left nor ended, suspected ones included: a suspected entry may
+ * still run requests
+ * @property endedAt when this process folded the end of an entry; its orphaned tasks run until their leases expire.
+ * Entries that left are not listed, as they finish their requests first.
+ */
+public data class DrainEntries(
+    public val joined: Collection<EntryIdentity>,
+    public val endedAt: Map<EntryIdentity, Instant> = emptyMap(),
+)
+
 /** Progress of the reboot of an instance, as the platform states it. */
 public enum class RebootProgress {
     NotStarted,
@@ -81,7 +94,7 @@
 
 /** What to do next with a draining instance. */
 public sealed interface DrainStep {
-    /** Requests may still run; [entries] have not reported zero twice. */
+    /** Requests may still run; [entries] have not reported zero twice, or ended a short time ago. */
     public data class WaitForRequests(public val entries: Set<EntryIdentity>) : DrainStep
 
     /** Nothing runs on the instance; the platform may reboot it. */
@@ -97,9 +110,9 @@
 /**
  * Tells for each draining instance what to do next.
  *
- * An instance may be rebooted when every entry of [joined] has sent two consecutive reports of zero that were
- * counted with the drain in effect, or when the task lease of its pool has expired since the drain. [joined] holds all
- * entries that joined and neither left nor ended, suspected ones included: a suspected entry may still run requests.
+ * An instance may be rebooted when every joined entry has sent two consecutive reports of zero that were counted with
+ * the drain in effect and the task leases of ended entries have expired, or when the task lease of its pool has
+ * expired since the drain.
  *
  * An instance whose reboot failed is recorded as failed and then returned without a new maintenance time, so that it
  * stays due and does not hold back planned work in other zones.
@@ -107,7 +120,7 @@
 public fun planDrainSteps(
     state: ConfigurationState,
     observations: DrainObservations,
-    joined: Collection<EntryIdentity>,
+    entries: DrainEntries,
     reboots: (InstanceName) -> RebootProgress,
     now: Instant,
 ): Map<InstanceName, DrainStep> {
@@ -116,7 +129,7 @@
         val wave = instance.wave ?: continue
         steps[instance.name] =
             when (reboots(instance.name)) {
-                RebootProgress.NotStarted -> beforeReboot(state, instance, observations, joined, now)
+                RebootProgress.NotStarted -> beforeReboot(state, instance, observations, entries, now)
                 RebootProgress.Running -> DrainStep.WaitForReboot
                 RebootProgress.Succeeded -> DrainStep.Propose(ReturnInstance(instance.name, wave, now))
                 RebootProgress.Failed ->
@@ -136,16 +149,23 @@
     state: ConfigurationState,
     instance: Instance,
     observations: DrainObservations,
-    joined: Collection<EntryIdentity>,
+    entries: DrainEntries,
     now: Instant,
 ): DrainStep {
     val start = observations.starts[instance.name]?.takeIf { it.wave == instance.wave }
     val lease = state.pools[instance.pool]?.taskLease
-    val expired =
-        start != null && lease != null && now - start.foldedAt >= lease + DrainObservations.LeaseMargin
-    val waiting = joined.filterTo(LinkedHashSet()) { start == null || !isIdle(observations, it, instance, start) }
+    val expired = { since: Instant -> lease != null && now - since >= lease + DrainObservations.LeaseMargin }
+    val waiting =
+        entries.joined.filterTo(LinkedHashSet()) { start == null || !isIdle(observations, it, instance, start) }
+    waiting += entries.endedAt.filterValues { !expired(it) }.keys
     return when {
-        expired || waiting.isEmpty() -> DrainStep.Reboot(leaseExpired = waiting.isNotEmpty())
+        waiting.isEmpty() ||
+            (
+                start != null &&
+                    expired(
+                        start.foldedAt,
+                    )
+            ) -> DrainStep.Reboot(leaseExpired = waiting.isNotEmpty())
         else -> DrainStep.WaitForRequests(waiting)
     }
 }
--- a/maintenance/src/test/kotlin/dogwoodgrade/maintenance/DrainProgressTest.kt
+++ b/maintenance/src/test/kotlin/dogwoodgrade/maintenance/DrainProgressTest.kt
@@ -26,7 +26,7 @@
         reboot: RebootProgress = RebootProgress.NotStarted,
     ): DrainStep {
         val observations = reports.fold(followed) { observations, report -> observations.record(report) }
-        return planDrainSteps(state, observations, entries, { reboot }, start + after).getValue(instance)
+        return planDrainSteps(state, observations, DrainEntries(entries), { reboot }, start + after).getValue(instance)
     }
 
     private fun waiting(vararg numbers: Int) = DrainStep.WaitForRequests(numbers.map { entries[it] }.toSet())
@@ -56,11 +56,31 @@
         assertEquals(DrainStep.Reboot(leaseExpired = true), stepAfter(after = lease))
     }
 
+    @Test
+    fun `an ended entry holds back the reboot until its orphaned tasks have lost their lease`() {
+        val idle = followed.record(report(0, 1)).record(report(0, 2))
+        val lease = 30.seconds + DrainObservations.LeaseMargin
+        for ((ended, expected) in listOf(
+            start - lease to waiting(1),
+            start - lease - 1.seconds to DrainStep.Reboot(leaseExpired = false),
+        )) {
+            val known = DrainEntries(entries.take(1), mapOf(entries[1] to ended))
+            val now = start - 1.seconds
+            assertEquals(expected, planDrainSteps(state, idle, known, { RebootProgress.NotStarted }, now)[instance])
+        }
+    }
+
     @Test
     fun `a second drain of the same instance starts anew`() {
         val again = state.returnAll(start).accept(drain("p0-0", wave = "next"))
         val observations = followed.follow(again, Offset(20), start + 60.seconds)
-        val step = planDrainSteps(again, observations, entries, { RebootProgress.NotStarted }, start + 61.seconds)
+        val step = planDrainSteps(
+            again,
+            observations,
+            DrainEntries(entries),
+            { RebootProgress.NotStarted },
+            start + 61.seconds,
+        )
         assertEquals(waiting(0, 1), step.getValue(instance))
     }
 
@@ -71,7 +91,13 @@
         assertEquals(DrainStep.WaitForReboot, stepAfter(reboot = RebootProgress.Running))
         assertEquals(DrainStep.Propose(ObserveFailure(instance)), stepAfter(reboot = RebootProgress.Failed))
         val failed = state.accept(fail("p0-0"))
-        val step = planDrainSteps(failed, followed, entries, { RebootProgress.Failed }, start).getValue(instance)
+        val step = planDrainSteps(
+            failed,
+            followed,
+            DrainEntries(entries),
+            { RebootProgress.Failed },
+            start,
+        ).getValue(instance)
         assertEquals(DrainStep.Propose(ReturnInstance(instance, "w", null)), step)
     }
 }
--- a/maintenance/src/test/kotlin/dogwoodgrade/maintenance/FleetRun.kt
+++ b/maintenance/src/test/kotlin/dogwoodgrade/maintenance/FleetRun.kt
@@ -23,6 +23,7 @@
     val largestMovesInWave: Int,
     val failures: Int,
     val overBudgetDrains: Int,
+    val rackVisits: Int,
 )
 
 /** How a run differs from another; the failures are the same for the same [seed]. */
@@ -69,12 +70,12 @@
         .associateWith { initial.instancesOf(it).size }
     val failedUntil = HashMap<InstanceName, Int>()
     var state = initial
-    var result = FleetResult(0, 0, null, 0, 0, 0, 0)
+    var result = FleetResult(0, 0, null, 0, 0, 0, 0, 0)
     for (hour in 0 until policy.period.inWholeHours.toInt()) {
         val now = start + hour.hours
         val events = environment(state, random, hour, failedUntil)
         state = state.accept(events)
-        val steps = planDrainSteps(state, DrainObservations(), emptyList(), { reboot(state, it) }, now)
+        val steps = planDrainSteps(state, DrainObservations(), DrainEntries(emptyList()), { reboot(state, it) }, now)
         state = state.accept(steps.values.filterIsInstance<DrainStep.Propose>().map { it.change })
 
         val moves = planMoves(state, MoveOptions(wanted, spare, policy.toleratedLoss))
@@ -92,6 +93,8 @@
                     max(result.largestMovesInWave, moves.groupBy { it.instance }.values.maxOfOrNull { it.size } ?: 0),
                 failures = result.failures + events.count { it is ObserveFailure },
                 overBudgetDrains = result.overBudgetDrains + overBudget(state, usable),
+                rackVisits =
+                    result.rackVisits + plan.drains.distinctBy { state.instances.getValue(it.instance).rack }.size,
             )
     }
     return result.copy(maintained = state.instances.values.count { it.maintainedAt != null })
