--- a/maintenance/src/main/kotlin/dogwoodgrade/maintenance/PlanWave.kt
+++ b/maintenance/src/main/kotlin/dogwoodgrade/maintenance/PlanWave.kt
@@ -14,8 +14,8 @@
  * The order is: due instances in zones that are out of service, as they serve nothing; then racks whose due instances
  * fit into the budgets of all their pools, so that a rack is visited once; then the rest of each pool's budget. A pool
  * works in one zone at a time and always fills its budget there, which takes
- * `sum over zones of ceil(due instances / budget)` waves, the fewest possible. Instances longest not maintained come
- * first. Failed instances are not drained, and they use up their pool's budget.
+ * `sum over zones of ceil(due instances / budget)` waves, the fewest possible. The zone with the instance longest not
+ * maintained comes first, and in it the instances longest not maintained. Failed instances are not drained, and they use up their pool's budget.
  */
 public fun planWave(
     state: ConfigurationState,
@@ -28,9 +28,20 @@
     val wave = WaveBuilder(state, options)
     outOfService.sortedWith(longestFirst).forEach(wave::addFree)
 
-    for (rack in inService.groupBy(Instance::rackKey).values.sortedWith(oldestRackFirst)) wave.addWhole(rack)
+    // All pools work through the zones in the same order where they can: a rack is in one zone, so it can only be
+    // drained as a whole if its pools work in the same zone.
+    val zones = inService.groupBy(Instance::zone).mapValues { (_, members) -> members.minWith(longestFirst) }
+    val zoneOrder = zones.values
+        .sortedWith(longestFirst)
+        .withIndex()
+        .associate { (rank, first) -> first.zone to rank }
+    val racks = inService.groupBy(Instance::rackKey).values.map { it.sortedWith(longestFirst) }
+    racks
+        .sortedWith(compareBy<List<Instance>> { zoneOrder[it.first().zone] }.thenBy(longestFirst) { it.first() })
+        .forEach(wave::addWhole)
     val left = inService.filter { it.name !in wave.chosen }
-    for ((pool, members) in left.groupBy(Instance::pool)) wave.fill(pool, members)
+    val preferred = compareBy<Instance> { zoneOrder[it.zone] }
+    for ((pool, members) in left.groupBy(Instance::pool)) wave.fill(pool, members, members.minWith(preferred).zone)
     return WavePlan(wave.drains(), due.size - wave.chosen.size, wave.blocked(left))
 }
 
@@ -60,9 +71,6 @@
 private val longestFirst: Comparator<Instance> =
     compareBy<Instance, Instant?>(nullsFirst()) { it.maintainedAt }.thenBy { it.rack }.thenBy { it.name }
 
-private val oldestRackFirst: Comparator<List<Instance>> =
-    Comparator { left, right -> longestFirst.compare(left.minWith(longestFirst), right.minWith(longestFirst)) }
-
 private val Instance.rackKey: Any get() = zone to rack
 
 /** Budget left in one pool, and the zone that planned work has to stay in. */
@@ -112,11 +120,11 @@
         return fits
     }
 
-    /** Uses the rest of the budget of [pool] in its zone, or in the zone of the instance longest not maintained. */
-    fun fill(pool: PoolName, members: List<Instance>) {
+    /** Uses the rest of the budget of [pool] in the zone where it works already, or else in [preferred]. */
+    fun fill(pool: PoolName, members: List<Instance>, preferred: AvailabilityZone) {
         val room = rooms[pool] ?: return
         if (room.budget <= 0) return
-        val zone = room.zone ?: members.minWith(longestFirst).zone
+        val zone = room.zone ?: preferred
         val free = minOf(room.budget, options.maximumDrains - result.size).coerceAtLeast(0)
         members
             .filter { it.zone == zone }
