--- /dev/null
+++ b/membership/src/main/kotlin/dogwoodgrade/membership/MemberState.kt
@@ -0,0 +1,113 @@
+package dogwoodgrade.membership
+
+import dogwoodgrade.model.AvailabilityZone
+import dogwoodgrade.model.EntryIdentity
+
+/** Facts about a member that stay the same while its process runs. */
+public data class Introduction(
+    public val identity: EntryIdentity,
+    public val zone: AvailabilityZone,
+    public val address: PeerAddress,
+)
+
+/**
+ * State of a member at one of its heartbeats. The heartbeat counts the member's own ticks (one per second) from 1.
+ * [loadComplete] is false when some of the member's running requests are not in its load cells.
+ */
+public data class MemberState(
+    public val introduction: Introduction,
+    public val heartbeat: Long,
+    public val contact: LogContact,
+    public val cells: List<Cell>,
+    public val loadComplete: Boolean = true,
+) {
+    /** Short key of the identity. */
+    public val key: MemberKey = MemberKey.of(introduction.identity)
+}
+
+/**
+ * Change of a member's state from the heartbeat [base] to [heartbeat]. With an introduction, the base is 0 and the
+ * cells are complete.
+ */
+public data class MemberDelta(
+    public val key: MemberKey,
+    public val introduction: Introduction?,
+    public val base: Long,
+    public val heartbeat: Long,
+    public val contact: LogContact,
+    public val cells: List<CellUpdate>,
+    public val loadComplete: Boolean = true,
+)
+
+/**
+ * Returns the state after [delta]: the larger (incarnation, heartbeat) wins. A delta that is not newer, or whose base
+ * is newer than the held state (messages were lost), leaves the held state as it is; the next digest asks again from
+ * there.
+ */
+public fun merge(held: MemberState?, delta: MemberDelta): MemberState? {
+    val introduction = delta.introduction
+    if (introduction != null) {
+        val state = MemberState(introduction, delta.heartbeat, delta.contact, completeCells(delta), delta.loadComplete)
+        if (held == null) return state
+        require(held.introduction.identity.name == introduction.identity.name) { "the delta is of another member" }
+        return if (held.isOlderThan(state)) state else held
+    }
+    if (held == null || held.key != delta.key) return held
+    if (delta.heartbeat <= held.heartbeat || delta.base > held.heartbeat) return held
+    val cells = updatedCells(held.cells, delta) ?: return held
+    return held.copy(
+        heartbeat = delta.heartbeat,
+        contact = delta.contact,
+        cells = cells,
+        loadComplete = delta.loadComplete,
+    )
+}
+
+/** Returns the change that brings a holder of the heartbeat [base] up to date; 0 asks for the complete state. */
+public fun MemberState.since(base: Long): MemberDelta =
+    MemberDelta(
+        key = key,
+        introduction = introduction.takeIf { base == 0L },
+        base = base,
+        heartbeat = heartbeat,
+        contact = contact,
+        cells =
+            cells.withIndex().filter { it.value.changedAt > base }.map { (index, cell) ->
+                CellUpdate(index, cell.name.takeIf { cell.namedAt > base }, cell.value)
+            },
+        loadComplete = loadComplete,
+    )
+
+/** Estimated bytes of this change in a message. */
+public fun MemberDelta.estimatedBytes(): Int =
+    DELTA_OVERHEAD_BYTES +
+        (introduction?.let { it.address.host.length + it.identity.name.text.length + it.zone.text.length } ?: 0) +
+        cells.sumOf { CELL_BYTES + (it.name?.estimatedBytes() ?: 0) }
+
+private fun MemberState.isOlderThan(other: MemberState): Boolean =
+    compareValuesBy(this, other, { it.introduction.identity.incarnation }, MemberState::heartbeat) < 0
+
+private fun completeCells(delta: MemberDelta): List<Cell> =
+    requireNotNull(updatedCells(emptyList(), delta)) { "an introduction lists every cell with its name" }
+
+/** Returns `null` if a cell has neither a name nor a predecessor, or if the indexes have a gap. */
+private fun updatedCells(held: List<Cell>, delta: MemberDelta): List<Cell>? {
+    val cells = ArrayList(held)
+    for (update in delta.cells) {
+        val previous = cells.getOrNull(update.index)
+        val name = update.name ?: previous?.name ?: return null
+        val namedAt = if (update.name == null) previous?.namedAt ?: return null else delta.heartbeat
+        val cell = Cell(name, update.value, delta.heartbeat, namedAt)
+        when {
+            previous != null -> cells[update.index] = cell
+            update.index == cells.size -> cells += cell
+            else -> return null
+        }
+    }
+    return cells
+}
+
+private const val DELTA_OVERHEAD_BYTES = 40
+
+/** Index step and value of a cell, in bytes. */
+private const val CELL_BYTES = 5
