--- a/membership/src/main/kotlin/dogwoodgrade/membership/MemberState.kt
+++ b/membership/src/main/kotlin/dogwoodgrade/membership/MemberState.kt
@@ -10,16 +10,12 @@
     public val address: PeerAddress,
 )
 
-/**
- * State of a member at one of its heartbeats. The heartbeat counts the member's own ticks (one per second) from 1.
- * [loadComplete] is false when some of the member's running requests are not in its load cells.
- */
+/** State of a member at one of its heartbeats. The heartbeat counts the member's own ticks (one per second) from 1. */
 public data class MemberState(
     public val introduction: Introduction,
     public val heartbeat: Long,
     public val contact: LogContact,
     public val cells: List<Cell>,
-    public val loadComplete: Boolean = true,
 ) {
     /** Short key of the identity. */
     public val key: MemberKey = MemberKey.of(introduction.identity)
@@ -36,7 +32,6 @@
     public val heartbeat: Long,
     public val contact: LogContact,
     public val cells: List<CellUpdate>,
-    public val loadComplete: Boolean = true,
 )
 
 /**
@@ -47,7 +42,7 @@
 public fun merge(held: MemberState?, delta: MemberDelta): MemberState? {
     val introduction = delta.introduction
     if (introduction != null) {
-        val state = MemberState(introduction, delta.heartbeat, delta.contact, completeCells(delta), delta.loadComplete)
+        val state = MemberState(introduction, delta.heartbeat, delta.contact, completeCells(delta))
         if (held == null) return state
         require(held.introduction.identity.name == introduction.identity.name) { "the delta is of another member" }
         return if (held.isOlderThan(state)) state else held
@@ -59,7 +54,6 @@
         heartbeat = delta.heartbeat,
         contact = delta.contact,
         cells = cells,
-        loadComplete = delta.loadComplete,
     )
 }
 
@@ -75,7 +69,6 @@
             cells.withIndex().filter { it.value.changedAt > base }.map { (index, cell) ->
                 CellUpdate(index, cell.name.takeIf { cell.namedAt > base }, cell.value)
             },
-        loadComplete = loadComplete,
     )
 
 /** Estimated bytes of this change in a message. */
--- a/membership/src/main/kotlin/dogwoodgrade/membership/MemberTable.kt
+++ b/membership/src/main/kotlin/dogwoodgrade/membership/MemberTable.kt
@@ -34,6 +34,8 @@
     private val acknowledged = HashMap<PeerAddress, Long>()
     private var state: MemberState? = null
     private var round = 0L
+    private var refreshCredit = 0
+    private var refreshed = own.identity.name
 
     /** Advances the own heartbeat and publishes [report]. Called once per second. */
     public fun tick(now: Instant, report: OwnReport): Unit =
@@ -42,7 +44,7 @@
             val heartbeat = (state?.heartbeat ?: 0) + 1
             val budget = maxOf(settings.minimumCellsPerTick, settings.cellsPerSecond / (alive(now).size + 1))
             val cells = publishCells(state?.cells.orEmpty(), report, heartbeat, budget, settings.stateBytes)
-            state = MemberState(own, heartbeat, report.contact, cells.cells, cells.complete)
+            state = MemberState(own, heartbeat, report.contact, cells)
         }
 
     /** Returns the requests of the next gossip round, at most [PEERS_PER_ROUND]; none before the first tick. */
@@ -167,12 +169,20 @@
 
     /**
      * Returns the member that is left out of the digest in this round and therefore comes in full, in rotation. This
-     * heals whatever a lost or wrong message has left behind.
+     * heals whatever a lost or wrong message has left behind. Each round adds a credit of
+     * [GossipSettings.refreshBytesPerSecond], so that large states come less often.
      */
     private fun refreshedMember(now: Instant): MemberKey? {
-        if (round % REFRESH_EVERY_ROUNDS != REFRESH_EVERY_ROUNDS - 1) return null
-        val keys = alive(now).map { it.state }.sortedBy { it.introduction.identity }.map { it.key }
-        return if (keys.isEmpty()) null else keys[(round / REFRESH_EVERY_ROUNDS % keys.size).toInt()]
+        val states = alive(now).map { it.state }.sortedBy { it.introduction.identity }
+        val next =
+            states.firstOrNull { it.introduction.identity.name > refreshed } ?: states.firstOrNull() ?: return null
+        val bytes = next.since(0).estimatedBytes()
+        refreshCredit += settings.refreshBytesPerSecond
+        if (refreshCredit < bytes) return null
+        // What is left after a quiet time must not be spent in a burst.
+        refreshCredit = 0
+        refreshed = next.introduction.identity.name
+        return next.key
     }
 
     private fun ambiguousKeys(): Set<MemberKey> =
@@ -200,7 +210,6 @@
             liveness = livenessOf(sinceProgress),
             sinceProgress = sinceProgress,
             load = loadOf(state),
-            loadComplete = state.loadComplete,
         )
     }
 
@@ -217,8 +226,6 @@
         /** Longer than the hour for which regions are partitioned, so that both sides keep their addresses. */
         val ForgottenAfter: Duration = 2.hours
 
-        const val REFRESH_EVERY_ROUNDS = 8L
-
         /** Recent usage below this is dropped; it is far below one unit of published usage. */
         const val NEGLIGIBLE_USAGE_MILLISECONDS = 1.0
     }
--- a/membership/src/main/kotlin/dogwoodgrade/membership/MemberView.kt
+++ b/membership/src/main/kotlin/dogwoodgrade/membership/MemberView.kt
@@ -6,8 +6,10 @@
 import kotlin.time.Duration
 
 /**
- * A member as this entry sees it. [contact] is as of [heartbeat], which last advanced [sinceProgress] ago. Instances
- * without requests are not in [load]; without [loadComplete], others may be missing as well.
+ * A member as this entry sees it. [contact] is as of [heartbeat], which last advanced [sinceProgress] ago.
+ *
+ * [load] leaves out instances without requests, and may be late for others. For a draining instance it is exact as of
+ * [heartbeat] if the member's applied offset includes the drain, because the member then watches that instance.
  */
 public data class MemberView(
     public val identity: EntryIdentity,
@@ -18,5 +20,4 @@
     public val liveness: Liveness,
     public val sinceProgress: Duration,
     public val load: Map<InstanceName, Int>,
-    public val loadComplete: Boolean,
 )
--- a/membership/src/main/kotlin/dogwoodgrade/membership/OwnReport.kt
+++ b/membership/src/main/kotlin/dogwoodgrade/membership/OwnReport.kt
@@ -5,24 +5,19 @@
 /**
  * What an entry publishes about itself: its contact with the log, the slot time used through it since it started (in
  * milliseconds, a sum that never falls), and its requests in flight per instance (instances at 0 may be left out).
+ * Instances in [watched], usually those that drain, are published at every change; other changes may wait.
  */
 public data class OwnReport(
     public val contact: LogContact,
     public val usage: Map<CellName.Usage, Long>,
     public val load: Map<InstanceName, Int>,
-)
-
-/** Cells after a tick; [complete] is false when a running request could not be listed. */
-internal data class PublishedCells(
-    val cells: List<Cell>,
-    val complete: Boolean,
+    public val watched: Set<InstanceName> = emptySet(),
 )
 
 /**
- * Returns the cells to publish with [heartbeat]. Every endpoint that gets its first request is listed at once, because
- * a drain waits until nobody shows requests there; of all other changes the [budget] largest are published, and the
- * rest waits for a later tick. A cell of an idle endpoint is given to another name when the state has reached
- * [stateBytes].
+ * Returns the cells to publish with [heartbeat]. Changes of watched instances are published at once, because a drain
+ * waits until nobody shows requests there. Of all other changes the [budget] largest are published, and the rest waits
+ * for a later tick. When the names have reached [stateBytes], a cell of an idle endpoint is given to the new name.
  */
 internal fun publishCells(
     held: List<Cell>,
@@ -30,7 +25,7 @@
     heartbeat: Long,
     budget: Int,
     stateBytes: Int,
-): PublishedCells {
+): List<Cell> {
     val values = HashMap<CellName, Long>()
     report.usage.forEach { (name, milliseconds) -> values[name] = milliseconds / USAGE_UNIT_MILLISECONDS }
     report.load.forEach { (instance, requests) -> values[CellName.Load(instance)] = requests.toLong() }
@@ -43,33 +38,31 @@
         values
             .map { (name, value) -> Movement(name, indexes[name]?.let { held[it].value } ?: 0, value) }
             .filter { it.before != it.after }
-    val (firstRequests, others) = moved.partition { it.isFirstRequest }
+    val (watched, others) = moved.partition { it.name is CellName.Load && it.name.instance in report.watched }
     val cells = ArrayList(held)
     var bytes = held.sumOf { it.name.estimatedBytes() }
-    var complete = true
-    for (movement in firstRequests + others.sortedWith(largestFirst).take(budget)) {
+    for (movement in watched + others.sortedWith(largestFirst).take(budget)) {
         val known = indexes[movement.name]
         val size = movement.name.estimatedBytes()
         if (known != null) {
             cells[known] = cells[known].copy(value = movement.after, changedAt = heartbeat)
-        } else if (bytes + size <= stateBytes) {
-            bytes += size
-            cells += Cell(movement.name, movement.after, heartbeat, heartbeat)
         } else {
-            val idle = cells.indexOfFirst { it.name is CellName.Load && it.value == 0L && it.changedAt < heartbeat }
+            val cell = Cell(movement.name, movement.after, heartbeat, heartbeat)
+            val idle = if (bytes + size <= stateBytes) -1 else cells.indexOfFirst { it.isReusable(heartbeat) }
             if (idle >= 0) {
-                cells[idle] = Cell(movement.name, movement.after, heartbeat, heartbeat)
-            } else if (movement.name is CellName.Load) {
-                complete = false
+                cells[idle] = cell
+            } else if (bytes + size <= stateBytes || movement in watched) {
+                bytes += size
+                cells += cell
             }
         }
     }
-    return PublishedCells(cells, complete)
+    return cells
 }
 
-private data class Movement(val name: CellName, val before: Long, val after: Long) {
-    val isFirstRequest: Boolean get() = name is CellName.Load && before == 0L
+private fun Cell.isReusable(heartbeat: Long): Boolean = name is CellName.Load && value == 0L && changedAt < heartbeat
 
+private data class Movement(val name: CellName, val before: Long, val after: Long) {
     /** A request that occupies a slot counts as much as the usage of one slot for one second. */
     val size: Long get() = if (name is CellName.Load) abs(after - before) * LOAD_WEIGHT else abs(after - before)
 }
--- /dev/null
+++ b/membership/src/test/kotlin/dogwoodgrade/membership/MemberTableTest.kt
@@ -0,0 +1,162 @@
+package dogwoodgrade.membership
+
+import dogwoodgrade.model.EntryName
+import dogwoodgrade.model.InstanceName
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.seconds
+
+class MemberTableTest {
+    private val a = table("entry-a")
+    private val b = table("entry-b")
+
+    private fun tickBoth(second: Int, reportOfA: OwnReport = report()) {
+        a.tick(Start + second.seconds, reportOfA)
+        b.tick(Start + second.seconds, report())
+    }
+
+    /** Guards against suspicion or absence that comes early, late, or from anything but missing progress. */
+    @Test
+    fun `a member without progress is suspected after 3 s and absent after 10 s`() {
+        tickBoth(0)
+        exchange(a, b, Start)
+        val expected = mapOf(
+            2 to Liveness.Alive,
+            3 to Liveness.Suspected,
+            9 to Liveness.Suspected,
+            10 to Liveness.Absent,
+        )
+        for ((second, liveness) in expected) {
+            exchange(a, b, Start + second.seconds) // The same heartbeat again is no progress.
+            assertEquals(liveness, b.members(Start + second.seconds).single().liveness, "after $second s")
+        }
+    }
+
+    /** Guards against bytes for what has not moved. */
+    @Test
+    fun `an acknowledged field is not sent again until it moves`() {
+        tickBoth(0, report(load = mapOf("x" to 1, "y" to 2)))
+        exchange(a, b, Start)
+        tickBoth(1, report(load = mapOf("x" to 1, "y" to 3)))
+        val own = exchange(a, b, Start + 1.seconds).first.members.single()
+        assertEquals(listOf(CellUpdate(0, null, 3)), own.cells)
+        assertEquals(null, own.introduction)
+    }
+
+    /** Guards against a change that is lost together with a message. */
+    @Test
+    fun `a lost answer and a lost request heal with the next exchange`() {
+        tickBoth(0, report(load = mapOf("x" to 1)))
+        exchange(a, b, Start, answerArrives = false)
+        tickBoth(1, report(load = mapOf("x" to 2)))
+        a.planGossip(Start + 1.seconds) // This request never arrives.
+        tickBoth(2, report(load = mapOf("x" to 3)))
+        exchange(a, b, Start + 2.seconds)
+        assertEquals(mapOf(InstanceName("x") to 3), b.peerLoad(Start + 2.seconds))
+        assertEquals(listOf(EntryName("entry-b")), a.members(Start + 2.seconds).map { it.identity.name })
+    }
+
+    /** Guards against a peer that restarts, has lost what it acknowledged, and never gets the full state again. */
+    @Test
+    fun `a restarted peer gets the full state and its earlier run is ignored`() {
+        tickBoth(0, report(load = mapOf("x" to 1)))
+        exchange(a, b, Start)
+        val restarted = table("entry-b", incarnation = 2)
+        for (second in 1..2) {
+            restarted.tick(Start + second.seconds, report())
+            a.tick(Start + second.seconds, report(load = mapOf("x" to 1)))
+            exchange(a, restarted, Start + second.seconds)
+        }
+        assertEquals(mapOf(InstanceName("x") to 1), restarted.peerLoad(Start + 2.seconds))
+        b.tick(Start + 3.seconds, report())
+        exchange(a, b, Start + 3.seconds)
+        assertEquals(
+            2,
+            a
+                .members(Start + 3.seconds)
+                .single()
+                .identity.incarnation,
+        )
+    }
+
+    /** Guards against a wrong copy that stays wrong because its heartbeat looks current. */
+    @Test
+    fun `every member is sent in full from time to time`() {
+        val requester = table("entry-a", settings = GossipSettings(refreshBytesPerSecond = 20))
+        val fullAt = ArrayList<Int>()
+        for (second in 0..6) {
+            requester.tick(Start + second.seconds, report())
+            b.tick(Start + second.seconds, report())
+            val (_, answer) = exchange(requester, b, Start + second.seconds)
+            if (answer.members.any { it.introduction != null }) fullAt += second
+        }
+        // The state without cells is estimated at 57 bytes, so three rounds of 20 bytes pay for it.
+        assertEquals(listOf(0, 3, 6), fullAt)
+    }
+
+    /** Guards against messages that grow with the number of teams, and against a drain that misses a request. */
+    @Test
+    fun `a tick publishes the largest changes within its budget and every watched instance`() {
+        val small = table("entry-a", settings = GossipSettings(cellsPerSecond = 8, minimumCellsPerTick = 2))
+        val usage = (1..100).associate { usage("pool", "team-$it") to it * 10_000L }
+        val load = (1..20).associate { "instance-$it" to 1 }
+        small.tick(Start, report(usage = usage, load = load, watched = setOf("instance-7", "instance-8")))
+        val names = small
+            .planGossip(Start)
+            .first()
+            .message.members
+            .single()
+            .cells
+            .map { it.name }
+        val expected =
+            (93..100).map { usage("pool", "team-$it") } + (7..8).map { CellName.Load(InstanceName("instance-$it")) }
+        assertEquals(expected.toSet(), names.toSet())
+        assertEquals(expected.size, names.size)
+    }
+
+    /** Guards against a state that grows until its message is refused, and against a drain that misses a request. */
+    @Test
+    fun `a full state reuses idle endpoints and still lists watched instances`() {
+        fun load(vararg instances: String) = report(load = instances.associateWith { 1 })
+        val full = publishCells(emptyList(), load("i1", "i2", "i3", "i4"), 1, 8, 30)
+        assertEquals(3, full.size)
+        val watched =
+            publishCells(full, load("i1", "i2", "i3", "i5").copy(watched = setOf(InstanceName("i5"))), 2, 8, 30)
+        assertEquals(full.map { it.name } + CellName.Load(InstanceName("i5")), watched.map { it.name })
+        val idle = publishCells(full, load("i1", "i3"), 2, 8, 30)
+        val next = publishCells(idle, load("i1", "i3", "i4"), 3, 8, 30)
+        assertEquals(listOf("i1", "i4", "i3").map { CellName.Load(InstanceName(it)) }, next.map { it.name })
+    }
+
+    /** Guards against usage that spikes when a long-running member is first met, and against usage counted twice. */
+    @Test
+    fun `usage of peers counts increases once and decays`() {
+        val team = usage("pool", "team")
+        for (second in 0..3) {
+            tickBoth(second, report(usage = mapOf(team to 64_000_000L + 640 * second)))
+            repeat(2) { exchange(a, b, Start + second.seconds) }
+        }
+        val expected = 640 * (1 + kotlin.math.exp(-0.2) + kotlin.math.exp(-0.4))
+        assertEquals(expected, b.peerUsage(Start + 3.seconds).getValue(team), 1e-6)
+    }
+
+    /** Guards against an entry that takes its own state from a peer. */
+    @Test
+    fun `the own state is never taken from a message`() {
+        tickBoth(0)
+        exchange(a, b, Start)
+        val impostor = table("entry-a", incarnation = 9).also { it.tick(Start, report(load = mapOf("x" to 7))) }
+        exchange(impostor, b, Start)
+        exchange(a, b, Start)
+        assertEquals(listOf(EntryName("entry-b")), a.members(Start).map { it.identity.name })
+    }
+
+    /** Guards against two snapshot writers in a fleet that agrees on its members, and against a suspected writer. */
+    @Test
+    fun `the live entry with the lowest name writes the snapshot`() {
+        tickBoth(0)
+        exchange(a, b, Start)
+        assertEquals(EntryName("entry-a"), snapshotWriter(EntryName("entry-b"), b.members(Start)))
+        assertEquals(EntryName("entry-b"), snapshotWriter(EntryName("entry-b"), b.members(Start + 3.seconds)))
+    }
+}
--- /dev/null
+++ b/peer/src/main/kotlin/dogwoodgrade/peer/Fetch.kt
@@ -0,0 +1,41 @@
+package dogwoodgrade.peer
+
+import dogwoodgrade.membership.LogContact
+import dogwoodgrade.model.Offset
+
+/**
+ * Asks for log records from [from] on: at most [maximumRecords] of them and [maximumBytes] in total. The first record
+ * is returned whatever its size, so that the requester always advances.
+ */
+public data class FetchRequest(
+    public val from: Offset,
+    public val maximumRecords: Int,
+    public val maximumBytes: Int,
+)
+
+/** Configuration that a peer hands on, with the [contact] of the peer at the time of its answer. */
+public data class FetchAnswer(
+    public val content: FetchContent,
+    public val contact: LogContact,
+)
+
+/** Records or, if they are no longer kept, a snapshot. */
+public sealed interface FetchContent {
+    /** Encoded records from the requested offset on, without gaps; empty if the peer has none. */
+    public data class Records(public val records: List<ByteArray>) : FetchContent
+
+    /** Encoded state that has folded every record below [offset]. */
+    public class Snapshot(public val offset: Offset, public val state: ByteArray) : FetchContent
+}
+
+/** Returns the first of [records] that fit the bounds of this request. */
+public fun FetchRequest.boundedPrefix(records: List<ByteArray>): List<ByteArray> {
+    var bytes = 0L
+    return records
+        .take(maximumRecords)
+        .withIndex()
+        .takeWhile { (index, record) ->
+            bytes += record.size
+            index == 0 || bytes <= maximumBytes
+        }.map { it.value }
+}
--- /dev/null
+++ b/peer/src/main/kotlin/dogwoodgrade/peer/PeerServer.kt
@@ -0,0 +1,106 @@
+package dogwoodgrade.peer
+
+import dogwoodgrade.model.Outcome
+import dogwoodgrade.model.ResultCode
+import dogwoodgrade.model.flatMap
+import dogwoodgrade.model.map
+import dogwoodgrade.wire.PeerGrpcKt
+import dogwoodgrade.wire.WireFetchAnswer
+import dogwoodgrade.wire.WireFetchRequest
+import dogwoodgrade.wire.WireGossip
+import dogwoodgrade.wire.WireIdentifyRequest
+import dogwoodgrade.wire.WireIdentity
+import io.grpc.Server
+import io.grpc.netty.NettyServerBuilder
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import kotlinx.coroutines.CoroutineDispatcher
+import java.io.IOException
+import java.net.InetSocketAddress
+
+/**
+ * Listener for other entries. The process keeps it open from before it admits any request until its last request has
+ * ended, because a refused connection is evidence that the process has ended.
+ */
+public class PeerServer internal constructor(
+    private val server: Server,
+    private val eventLoops: EventLoopGroup,
+) : AutoCloseable {
+    /** Port of the listener. */
+    public val port: Int get() = server.port
+
+    /** Closes the listener and every connection. */
+    override fun close() {
+        server.shutdownNow()
+        closeEventLoops(eventLoops)
+    }
+}
+
+/**
+ * Starts the listener on [host] and [port] (0 picks a free one); [dispatcher] runs the [handlers].
+ *
+ * @return the server, or a failure with the code `AddressInUse`
+ */
+public fun startPeerServer(
+    host: String,
+    port: Int,
+    handlers: PeerHandlers,
+    dispatcher: CoroutineDispatcher,
+    settings: PeerSettings = PeerSettings(),
+): Outcome<PeerServer> {
+    val eventLoops = newEventLoops()
+    val server =
+        NettyServerBuilder
+            .forAddress(InetSocketAddress(host, port))
+            .bossEventLoopGroup(eventLoops)
+            .workerEventLoopGroup(eventLoops)
+            .channelType(NioServerSocketChannel::class.java)
+            .directExecutor()
+            .maxInboundMessageSize(settings.gossipBytes)
+            .maxConcurrentCallsPerConnection(settings.concurrentCallsPerConnection)
+            .flowControlWindow(FLOW_CONTROL_BYTES)
+            .addService(PeerService(handlers, dispatcher, settings))
+            .build()
+    return try {
+        Outcome.Success(PeerServer(server.start(), eventLoops))
+    } catch (fault: IOException) {
+        closeEventLoops(eventLoops)
+        Outcome.Failure(ResultCode.AddressInUse, "peer: cannot listen on $host:$port: ${fault.message}")
+    }
+}
+
+private class PeerService(
+    private val handlers: PeerHandlers,
+    dispatcher: CoroutineDispatcher,
+    private val settings: PeerSettings,
+) : PeerGrpcKt.PeerCoroutineImplBase(dispatcher) {
+    override suspend fun exchange(request: WireGossip): WireGossip =
+        decodeGossip(request).flatMap { handlers.exchange(it) }.map(::encodeGossip).orRefuse()
+
+    override suspend fun fetch(request: WireFetchRequest): WireFetchAnswer =
+        decodeFetchRequest(request, settings)
+            .flatMap { bounded -> handlers.fetch(bounded).map { encodeFetchAnswer(it, bounded) } }
+            .orRefuse()
+
+    override suspend fun identify(request: WireIdentifyRequest): WireIdentity = encodeIdentity(handlers.identify())
+
+    private fun <Value> Outcome<Value>.orRefuse(): Value =
+        when (this) {
+            is Outcome.Success -> value
+            is Outcome.Failure -> throw toStatusException()
+        }
+}
+
+/** One thread moves a few messages per second. */
+internal fun newEventLoops(): EventLoopGroup = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+
+internal fun closeEventLoops(eventLoops: EventLoopGroup) {
+    eventLoops.shutdownGracefully(0, SHUTDOWN_MILLISECONDS, java.util.concurrent.TimeUnit.MILLISECONDS)
+}
+
+/** Receive window of a connection; keeps its buffers small beside a heap of 128 MB. */
+internal const val FLOW_CONTROL_BYTES: Int = 64 * 1024
+
+private const val SHUTDOWN_MILLISECONDS = 1_000L
--- /dev/null
+++ b/peer/src/test/kotlin/dogwoodgrade/peer/GrpcPeerTest.kt
@@ -0,0 +1,195 @@
+package dogwoodgrade.peer
+
+import dogwoodgrade.membership.GossipMessage
+import dogwoodgrade.membership.LogContact
+import dogwoodgrade.membership.PeerAddress
+import dogwoodgrade.membership.ProbeResult
+import dogwoodgrade.model.EntryIdentity
+import dogwoodgrade.model.EntryName
+import dogwoodgrade.model.Offset
+import dogwoodgrade.model.Outcome
+import dogwoodgrade.model.ResultCode
+import dogwoodgrade.model.failureOrNull
+import dogwoodgrade.model.valueOrNull
+import dogwoodgrade.wire.PeerGrpc
+import io.grpc.CallOptions
+import io.grpc.MethodDescriptor
+import io.grpc.Server
+import io.grpc.ServerServiceDefinition
+import io.grpc.Status
+import io.grpc.StatusException
+import io.grpc.kotlin.ClientCalls
+import io.grpc.netty.NettyChannelBuilder
+import io.grpc.netty.NettyServerBuilder
+import io.grpc.stub.ServerCalls
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.test.runTest
+import java.io.ByteArrayInputStream
+import java.io.InputStream
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
+import kotlin.test.assertNotNull
+import kotlin.time.Duration.Companion.seconds
+
+/** The fault table over real connections on loopback. */
+internal class GrpcPeerTest : PeerContract() {
+    private object Bytes : MethodDescriptor.Marshaller<ByteArray> {
+        override fun stream(value: ByteArray): InputStream = ByteArrayInputStream(value)
+
+        override fun parse(stream: InputStream): ByteArray = stream.readBytes()
+    }
+
+    private fun rawMethod(method: MethodDescriptor<*, *>): MethodDescriptor<ByteArray, ByteArray> =
+        method.toBuilder(Bytes, Bytes).build()
+
+    /** Answers every call with the same bytes, which are no valid message. */
+    private fun startGarbageServer(): Server {
+        val service = ServerServiceDefinition.builder(PeerGrpc.SERVICE_NAME)
+        for (method in PeerGrpc.getServiceDescriptor().methods) {
+            service.addMethod(
+                rawMethod(method),
+                ServerCalls.asyncUnaryCall { _, observer ->
+                    observer.onNext(Random(7).nextBytes(100))
+                    observer.onCompleted()
+                },
+            )
+        }
+        return NettyServerBuilder
+            .forAddress(
+                InetSocketAddress("127.0.0.1", 0),
+            ).addService(service.build())
+            .build()
+            .start()
+    }
+
+    private fun startServer(handlers: PeerHandlers): PeerServer =
+        assertNotNull(startPeerServer("127.0.0.1", 0, handlers, Dispatchers.Default, settings).valueOrNull())
+
+    private fun closedPort(): Int = ServerSocket(0).use { it.localPort }
+
+    override fun start(handlers: PeerHandlers): PeerUnderTest {
+        var now = Start
+        val server = startServer(handlers)
+        val garbage = startGarbageServer()
+        val closed = closedPort()
+        val slow = settings.copy(exchangeDeadline = 20.seconds, fetchDeadline = 20.seconds, probeDeadline = 20.seconds)
+        val clients = listOf(slow, hastySettings).map { settings -> GrpcPeerClient(settings) { now } }
+        return PeerUnderTest(
+            addressFor = {
+                val port =
+                    when (it) {
+                        Fault.Garbage -> garbage.port
+                        Fault.Refusing -> closed
+                        else -> server.port
+                    }
+                PeerAddress("127.0.0.1", port)
+            },
+            patient = clients[0].port,
+            hasty = clients[1].port,
+            advance = { now += it },
+            close = {
+                clients.forEach(GrpcPeerClient::close)
+                server.close()
+                garbage.shutdownNow()
+            },
+        )
+    }
+
+    private val refusing =
+        PeerHandlers(
+            exchange = { Outcome.Failure(ResultCode.Starting, "the entry has no configuration yet") },
+            fetch = { error("fault of a handler") },
+            identify = { EntryIdentity(EntryName("entry-b"), 1) },
+        )
+
+    private val empty = GossipMessage(emptyMap(), 0, emptyList(), LogContact(Offset.Zero, null))
+
+    private fun checkRefusing(block: suspend (GrpcPeerClient, PeerAddress) -> Unit) {
+        startServer(refusing).use { server ->
+            GrpcPeerClient(settings.copy(exchangeDeadline = 20.seconds, probeDeadline = 20.seconds)) { Start }.use {
+                runTest { block(it, PeerAddress("127.0.0.1", server.port)) }
+            }
+        }
+    }
+
+    /** Guards against a refusal that looks like a broken connection, and against a server that a handler can end. */
+    @Test
+    fun `a refusal keeps its code and a failing handler costs one call`() =
+        checkRefusing { client, address ->
+            assertEquals(
+                ResultCode.Starting,
+                client.port
+                    .exchange(address, empty)
+                    .failureOrNull()
+                    ?.code,
+            )
+            val fetched = client.port.fetch(address, FetchRequest(Offset.Zero, 1, 1))
+            assertEquals(ResultCode.PeerUnreachable, fetched.failureOrNull()?.code)
+            assertEquals(ProbeResult.Answered(EntryIdentity(EntryName("entry-b"), 1)), client.port.probe(address))
+        }
+
+    /** Guards against a server that malformed or oversized requests can end or fill. */
+    @Test
+    fun `the server refuses garbage and oversized requests and goes on`() =
+        checkRefusing { client, address ->
+            val channel = NettyChannelBuilder.forAddress(address.host, address.port).usePlaintext().build()
+            val method = rawMethod(PeerGrpc.getExchangeMethod())
+            val tooLarge = ByteArray(settings.gossipBytes + 1)
+            val invalid = encodeGossip(empty)
+                .toBuilder()
+                .addDigestKeys(1)
+                .build()
+                .toByteArray()
+            try {
+                for (bytes in listOf(Random(11).nextBytes(500), tooLarge, invalid)) {
+                    assertFailsWith<StatusException> {
+                        ClientCalls.unaryRpc(
+                            channel,
+                            method,
+                            bytes,
+                            CallOptions.DEFAULT,
+                        )
+                    }
+                }
+                val fault = assertFailsWith<StatusException> {
+                    ClientCalls.unaryRpc(channel, method, invalid, CallOptions.DEFAULT)
+                }
+                assertEquals(Status.Code.INVALID_ARGUMENT, fault.status.code)
+                assertEquals(ResultCode.MalformedRecord, fault.toFailure().code)
+            } finally {
+                channel.shutdownNow()
+            }
+            assertEquals(ProbeResult.Answered(EntryIdentity(EntryName("entry-b"), 1)), client.port.probe(address))
+        }
+
+    /** Guards against an address from a peer that gRPC refuses with an exception. */
+    @Test
+    fun `an address that gRPC does not accept is unreachable`() =
+        checkRefusing { client, _ ->
+            for (host in listOf(":", ":::", "..", "-", "a..b", "1:2:3")) {
+                val address = PeerAddress(host, 1)
+                assertEquals(ProbeResult.NoAnswer, client.port.probe(address), host)
+                assertEquals(
+                    ResultCode.PeerUnreachable,
+                    client.port
+                        .exchange(address, empty)
+                        .failureOrNull()
+                        ?.code,
+                    host,
+                )
+            }
+        }
+
+    /** Guards against a second process on the same address that starts without its listener. */
+    @Test
+    fun `an address in use is a numbered failure`() {
+        startServer(refusing).use { server ->
+            val second = startPeerServer("127.0.0.1", server.port, refusing, Dispatchers.Default)
+            assertEquals(ResultCode.AddressInUse, second.failureOrNull()?.code)
+        }
+    }
+}
--- a/wire/src/main/java/dogwoodgrade/wire/PeerOuterClass.java
+++ b/wire/src/main/java/dogwoodgrade/wire/PeerOuterClass.java
@@ -31,11 +31,6 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_dogwoodgrade_wire_WireGossip_fieldAccessorTable;
-  static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_dogwoodgrade_wire_WireMember_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_dogwoodgrade_wire_WireMember_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_dogwoodgrade_wire_WireIntroduction_descriptor;
   static final 
@@ -80,39 +75,37 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\021dogwoodgrade.wire\"\257\001\n\nWire" +
+      "\n\npeer.proto\022\021dogwoodgrade.wire\"\211\003\n\nWire" +
       "Gossip\022\023\n\013digest_keys\030\001 \003(\007\022\031\n\021digest_he" +
-      "artbeats\030\002 \003(\004\022\024\n\014acknowledged\030\003 \001(\004\022.\n\007" +
-      "members\030\004 \003(\0132\035.dogwoodgrade.wire.WireMe" +
-      "mber\022\026\n\016applied_offset\030\005 \001(\004\022\023\n\013contact_" +
-      "age\030\006 \001(\004\"\223\002\n\nWireMember\022\013\n\003key\030\001 \001(\007\0229\n" +
-      "\014introduction\030\002 \001(\0132#.dogwoodgrade.wire." +
-      "WireIntroduction\022\021\n\theartbeat\030\003 \001(\004\022\017\n\007a" +
-      "dvance\030\004 \001(\004\022\026\n\016applied_offset\030\005 \001(\004\022\023\n\013" +
-      "contact_age\030\006 \001(\r\022\023\n\013index_steps\030\007 \003(\r\022\016" +
-      "\n\006values\030\010 \003(\004\022.\n\005names\030\t \003(\0132\037.dogwoodg" +
-      "rade.wire.WireCellName\022\027\n\017load_incomplet" +
-      "e\030\n \001(\010\"_\n\020WireIntroduction\022\014\n\004name\030\001 \001(" +
-      "\t\022\023\n\013incarnation\030\002 \001(\004\022\014\n\004zone\030\003 \001(\t\022\014\n\004" +
-      "host\030\004 \001(\t\022\014\n\004port\030\005 \001(\r\"N\n\014WireCellName" +
-      "\022\020\n\010position\030\001 \001(\r\022\014\n\004pool\030\002 \001(\t\022\014\n\004team" +
-      "\030\003 \001(\t\022\020\n\010instance\030\004 \001(\t\"P\n\020WireFetchReq" +
-      "uest\022\014\n\004from\030\001 \001(\004\022\027\n\017maximum_records\030\002 " +
-      "\001(\r\022\025\n\rmaximum_bytes\030\003 \001(\r\"\202\001\n\017WireFetch" +
-      "Answer\022\017\n\007records\030\001 \003(\014\0221\n\010snapshot\030\002 \001(" +
-      "\0132\037.dogwoodgrade.wire.WireSnapshot\022\026\n\016ap" +
-      "plied_offset\030\003 \001(\004\022\023\n\013contact_age\030\004 \001(\004\"" +
-      "-\n\014WireSnapshot\022\016\n\006offset\030\001 \001(\004\022\r\n\005state" +
-      "\030\002 \001(\014\"\025\n\023WireIdentifyRequest\"1\n\014WireIde" +
-      "ntity\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004" +
-      "2\367\001\n\004Peer\022H\n\010Exchange\022\035.dogwoodgrade.wir" +
-      "e.WireGossip\032\035.dogwoodgrade.wire.WireGos" +
-      "sip\022P\n\005Fetch\022#.dogwoodgrade.wire.WireFet" +
-      "chRequest\032\".dogwoodgrade.wire.WireFetchA" +
-      "nswer\022S\n\010Identify\022&.dogwoodgrade.wire.Wi" +
-      "reIdentifyRequest\032\037.dogwoodgrade.wire.Wi" +
-      "reIdentityB\025\n\021dogwoodgrade.wireP\001b\006proto" +
-      "3"
+      "artbeats\030\002 \003(\004\022\024\n\014acknowledged\030\003 \001(\004\022\026\n\016" +
+      "applied_offset\030\004 \001(\004\022\023\n\013contact_age\030\005 \001(" +
+      "\004\022:\n\rintroductions\030\006 \003(\0132#.dogwoodgrade." +
+      "wire.WireIntroduction\022\014\n\004keys\030\007 \003(\007\022\022\n\nh" +
+      "eartbeats\030\010 \003(\004\022\020\n\010advances\030\t \003(\004\022\030\n\020off" +
+      "set_distances\030\n \003(\022\022\024\n\014contact_ages\030\013 \003(" +
+      "\r\022\023\n\013cell_counts\030\014 \003(\r\022\023\n\013index_steps\030\r " +
+      "\003(\r\022\016\n\006values\030\016 \003(\004\022.\n\005names\030\017 \003(\0132\037.dog" +
+      "woodgrade.wire.WireCellName\"q\n\020WireIntro" +
+      "duction\022\020\n\010position\030\001 \001(\r\022\014\n\004name\030\002 \001(\t\022" +
+      "\023\n\013incarnation\030\003 \001(\004\022\014\n\004zone\030\004 \001(\t\022\014\n\004ho" +
+      "st\030\005 \001(\t\022\014\n\004port\030\006 \001(\r\"N\n\014WireCellName\022\020" +
+      "\n\010position\030\001 \001(\r\022\014\n\004pool\030\002 \001(\t\022\014\n\004team\030\003" +
+      " \001(\t\022\020\n\010instance\030\004 \001(\t\"P\n\020WireFetchReque" +
+      "st\022\014\n\004from\030\001 \001(\004\022\027\n\017maximum_records\030\002 \001(" +
+      "\r\022\025\n\rmaximum_bytes\030\003 \001(\r\"\202\001\n\017WireFetchAn" +
+      "swer\022\017\n\007records\030\001 \003(\014\0221\n\010snapshot\030\002 \001(\0132" +
+      "\037.dogwoodgrade.wire.WireSnapshot\022\026\n\016appl" +
+      "ied_offset\030\003 \001(\004\022\023\n\013contact_age\030\004 \001(\004\"-\n" +
+      "\014WireSnapshot\022\016\n\006offset\030\001 \001(\004\022\r\n\005state\030\002" +
+      " \001(\014\"\025\n\023WireIdentifyRequest\"1\n\014WireIdent" +
+      "ity\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\0042\367" +
+      "\001\n\004Peer\022H\n\010Exchange\022\035.dogwoodgrade.wire." +
+      "WireGossip\032\035.dogwoodgrade.wire.WireGossi" +
+      "p\022P\n\005Fetch\022#.dogwoodgrade.wire.WireFetch" +
+      "Request\032\".dogwoodgrade.wire.WireFetchAns" +
+      "wer\022S\n\010Identify\022&.dogwoodgrade.wire.Wire" +
+      "IdentifyRequest\032\037.dogwoodgrade.wire.Wire" +
+      "IdentityB\025\n\021dogwoodgrade.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -123,51 +116,45 @@
     internal_static_dogwoodgrade_wire_WireGossip_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_dogwoodgrade_wire_WireGossip_descriptor,
-        new java.lang.String[] { "DigestKeys", "DigestHeartbeats", "Acknowledged", "Members", "AppliedOffset", "ContactAge", });
-    internal_static_dogwoodgrade_wire_WireMember_descriptor =
-      getDescriptor().getMessageType(1);
-    internal_static_dogwoodgrade_wire_WireMember_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_dogwoodgrade_wire_WireMember_descriptor,
-        new java.lang.String[] { "Key", "Introduction", "Heartbeat", "Advance", "AppliedOffset", "ContactAge", "IndexSteps", "Values", "Names", "LoadIncomplete", });
+        new java.lang.String[] { "DigestKeys", "DigestHeartbeats", "Acknowledged", "AppliedOffset", "ContactAge", "Introductions", "Keys", "Heartbeats", "Advances", "OffsetDistances", "ContactAges", "CellCounts", "IndexSteps", "Values", "Names", });
     internal_static_dogwoodgrade_wire_WireIntroduction_descriptor =
-      getDescriptor().getMessageType(2);
+      getDescriptor().getMessageType(1);
     internal_static_dogwoodgrade_wire_WireIntroduction_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_dogwoodgrade_wire_WireIntroduction_descriptor,
-        new java.lang.String[] { "Name", "Incarnation", "Zone", "Host", "Port", });
+        new java.lang.String[] { "Position", "Name", "Incarnation", "Zone", "Host", "Port", });
     internal_static_dogwoodgrade_wire_WireCellName_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(2);
     internal_static_dogwoodgrade_wire_WireCellName_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_dogwoodgrade_wire_WireCellName_descriptor,
         new java.lang.String[] { "Position", "Pool", "Team", "Instance", });
     internal_static_dogwoodgrade_wire_WireFetchRequest_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(3);
     internal_static_dogwoodgrade_wire_WireFetchRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_dogwoodgrade_wire_WireFetchRequest_descriptor,
         new java.lang.String[] { "From", "MaximumRecords", "MaximumBytes", });
     internal_static_dogwoodgrade_wire_WireFetchAnswer_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(4);
     internal_static_dogwoodgrade_wire_WireFetchAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_dogwoodgrade_wire_WireFetchAnswer_descriptor,
         new java.lang.String[] { "Records", "Snapshot", "AppliedOffset", "ContactAge", });
     internal_static_dogwoodgrade_wire_WireSnapshot_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(5);
     internal_static_dogwoodgrade_wire_WireSnapshot_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_dogwoodgrade_wire_WireSnapshot_descriptor,
         new java.lang.String[] { "Offset", "State", });
     internal_static_dogwoodgrade_wire_WireIdentifyRequest_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(6);
     internal_static_dogwoodgrade_wire_WireIdentifyRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_dogwoodgrade_wire_WireIdentifyRequest_descriptor,
         new java.lang.String[] { });
     internal_static_dogwoodgrade_wire_WireIdentity_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(7);
     internal_static_dogwoodgrade_wire_WireIdentity_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_dogwoodgrade_wire_WireIdentity_descriptor,
--- a/wire/src/main/java/dogwoodgrade/wire/WireCellName.java
+++ b/wire/src/main/java/dogwoodgrade/wire/WireCellName.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * Meaning of a cell: the usage of a team in a pool, or the load of an endpoint.
+ * The usage of a team in a pool, or the load of an endpoint.
  * </pre>
  *
  * Protobuf type {@code dogwoodgrade.wire.WireCellName}
@@ -59,7 +59,7 @@
   private int position_ = 0;
   /**
    * <pre>
-   * Position in the list of cells.
+   * Position in the columns of cells.
    * </pre>
    *
    * <code>uint32 position = 1;</code>
@@ -380,7 +380,7 @@
   }
   /**
    * <pre>
-   * Meaning of a cell: the usage of a team in a pool, or the load of an endpoint.
+   * The usage of a team in a pool, or the load of an endpoint.
    * </pre>
    *
    * Protobuf type {@code dogwoodgrade.wire.WireCellName}
@@ -561,7 +561,7 @@
     private int position_ ;
     /**
      * <pre>
-     * Position in the list of cells.
+     * Position in the columns of cells.
      * </pre>
      *
      * <code>uint32 position = 1;</code>
@@ -573,7 +573,7 @@
     }
     /**
      * <pre>
-     * Position in the list of cells.
+     * Position in the columns of cells.
      * </pre>
      *
      * <code>uint32 position = 1;</code>
@@ -589,7 +589,7 @@
     }
     /**
      * <pre>
-     * Position in the list of cells.
+     * Position in the columns of cells.
      * </pre>
      *
      * <code>uint32 position = 1;</code>
--- a/wire/src/main/java/dogwoodgrade/wire/WireCellNameOrBuilder.java
+++ b/wire/src/main/java/dogwoodgrade/wire/WireCellNameOrBuilder.java
@@ -12,7 +12,7 @@
 
   /**
    * <pre>
-   * Position in the list of cells.
+   * Position in the columns of cells.
    * </pre>
    *
    * <code>uint32 position = 1;</code>
--- a/wire/src/main/java/dogwoodgrade/wire/WireGossip.java
+++ b/wire/src/main/java/dogwoodgrade/wire/WireGossip.java
@@ -6,6 +6,11 @@
 package dogwoodgrade.wire;
 
 /**
+ * <pre>
+ * Numbers of the members are stored as columns, one packed list per field, because the tags of a message per member
+ * cost more bytes than the numbers themselves.
+ * </pre>
+ *
  * Protobuf type {@code dogwoodgrade.wire.WireGossip}
  */
 @com.google.protobuf.Generated
@@ -30,7 +35,16 @@
   private WireGossip() {
     digestKeys_ = emptyIntList();
     digestHeartbeats_ = emptyLongList();
-    members_ = java.util.Collections.emptyList();
+    introductions_ = java.util.Collections.emptyList();
+    keys_ = emptyIntList();
+    heartbeats_ = emptyLongList();
+    advances_ = emptyLongList();
+    offsetDistances_ = emptyLongList();
+    contactAges_ = emptyIntList();
+    cellCounts_ = emptyIntList();
+    indexSteps_ = emptyIntList();
+    values_ = emptyLongList();
+    names_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -138,71 +152,455 @@
     return acknowledged_;
   }
 
-  public static final int MEMBERS_FIELD_NUMBER = 4;
+  public static final int APPLIED_OFFSET_FIELD_NUMBER = 4;
+  private long appliedOffset_ = 0L;
+  /**
+   * <pre>
+   * Folded state of the sender at the time of this message; the age is in milliseconds plus 1, 0 means none.
+   * </pre>
+   *
+   * <code>uint64 applied_offset = 4;</code>
+   * @return The appliedOffset.
+   */
+  @java.lang.Override
+  public long getAppliedOffset() {
+    return appliedOffset_;
+  }
+
+  public static final int CONTACT_AGE_FIELD_NUMBER = 5;
+  private long contactAge_ = 0L;
+  /**
+   * <code>uint64 contact_age = 5;</code>
+   * @return The contactAge.
+   */
+  @java.lang.Override
+  public long getContactAge() {
+    return contactAge_;
+  }
+
+  public static final int INTRODUCTIONS_FIELD_NUMBER = 6;
   @SuppressWarnings("serial")
-  private java.util.List<dogwoodgrade.wire.WireMember> members_;
+  private java.util.List<dogwoodgrade.wire.WireIntroduction> introductions_;
   /**
-   * <code>repeated .dogwoodgrade.wire.WireMember members = 4;</code>
+   * <pre>
+   * Members that the receiver may not know; their cells are complete.
+   * </pre>
+   *
+   * <code>repeated .dogwoodgrade.wire.WireIntroduction introductions = 6;</code>
    */
   @java.lang.Override
-  public java.util.List<dogwoodgrade.wire.WireMember> getMembersList() {
-    return members_;
+  public java.util.List<dogwoodgrade.wire.WireIntroduction> getIntroductionsList() {
+    return introductions_;
   }
   /**
-   * <code>repeated .dogwoodgrade.wire.WireMember members = 4;</code>
+   * <pre>
+   * Members that the receiver may not know; their cells are complete.
+   * </pre>
+   *
+   * <code>repeated .dogwoodgrade.wire.WireIntroduction introductions = 6;</code>
    */
   @java.lang.Override
-  public java.util.List<? extends dogwoodgrade.wire.WireMemberOrBuilder> 
-      getMembersOrBuilderList() {
-    return members_;
+  public java.util.List<? extends dogwoodgrade.wire.WireIntroductionOrBuilder> 
+      getIntroductionsOrBuilderList() {
+    return introductions_;
   }
   /**
-   * <code>repeated .dogwoodgrade.wire.WireMember members = 4;</code>
+   * <pre>
+   * Members that the receiver may not know; their cells are complete.
+   * </pre>
+   *
+   * <code>repeated .dogwoodgrade.wire.WireIntroduction introductions = 6;</code>
    */
   @java.lang.Override
-  public int getMembersCount() {
-    return members_.size();
+  public int getIntroductionsCount() {
+    return introductions_.size();
   }
   /**
-   * <code>repeated .dogwoodgrade.wire.WireMember members = 4;</code>
+   * <pre>
+   * Members that the receiver may not know; their cells are complete.
+   * </pre>
+   *
+   * <code>repeated .dogwoodgrade.wire.WireIntroduction introductions = 6;</code>
    */
   @java.lang.Override
-  public dogwoodgrade.wire.WireMember getMembers(int index) {
-    return members_.get(index);
+  public dogwoodgrade.wire.WireIntroduction getIntroductions(int index) {
+    return introductions_.get(index);
   }
   /**
-   * <code>repeated .dogwoodgrade.wire.WireMember members = 4;</code>
+   * <pre>
+   * Members that the receiver may not know; their cells are complete.
+   * </pre>
+   *
+   * <code>repeated .dogwoodgrade.wire.WireIntroduction introductions = 6;</code>
    */
   @java.lang.Override
-  public dogwoodgrade.wire.WireMemberOrBuilder getMembersOrBuilder(
+  public dogwoodgrade.wire.WireIntroductionOrBuilder getIntroductionsOrBuilder(
       int index) {
-    return members_.get(index);
+    return introductions_.get(index);
   }
 
-  public static final int APPLIED_OFFSET_FIELD_NUMBER = 5;
-  private long appliedOffset_ = 0L;
+  public static final int KEYS_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.Internal.IntList keys_ =
+      emptyIntList();
   /**
    * <pre>
-   * Folded state of the sender at the time of this message; the age is in milliseconds plus 1, 0 means none.
+   * Columns with one number for each member.
    * </pre>
    *
-   * <code>uint64 applied_offset = 5;</code>
-   * @return The appliedOffset.
+   * <code>repeated fixed32 keys = 7;</code>
+   * @return A list containing the keys.
    */
   @java.lang.Override
-  public long getAppliedOffset() {
-    return appliedOffset_;
+  public java.util.List<java.lang.Integer>
+      getKeysList() {
+    return keys_;
+  }
+  /**
+   * <pre>
+   * Columns with one number for each member.
+   * </pre>
+   *
+   * <code>repeated fixed32 keys = 7;</code>
+   * @return The count of keys.
+   */
+  public int getKeysCount() {
+    return keys_.size();
+  }
+  /**
+   * <pre>
+   * Columns with one number for each member.
+   * </pre>
+   *
+   * <code>repeated fixed32 keys = 7;</code>
+   * @param index The index of the element to return.
+   * @return The keys at the given index.
+   */
+  public int getKeys(int index) {
+    return keys_.getInt(index);
   }
+  private int keysMemoizedSerializedSize = -1;
 
-  public static final int CONTACT_AGE_FIELD_NUMBER = 6;
-  private long contactAge_ = 0L;
+  public static final int HEARTBEATS_FIELD_NUMBER = 8;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.Internal.LongList heartbeats_ =
+      emptyLongList();
   /**
-   * <code>uint64 contact_age = 6;</code>
-   * @return The contactAge.
+   * <code>repeated uint64 heartbeats = 8;</code>
+   * @return A list containing the heartbeats.
    */
   @java.lang.Override
-  public long getContactAge() {
-    return contactAge_;
+  public java.util.List<java.lang.Long>
+      getHeartbeatsList() {
+    return heartbeats_;
+  }
+  /**
+   * <code>repeated uint64 heartbeats = 8;</code>
+   * @return The count of heartbeats.
+   */
+  public int getHeartbeatsCount() {
+    return heartbeats_.size();
+  }
+  /**
+   * <code>repeated uint64 heartbeats = 8;</code>
+   * @param index The index of the element to return.
+   * @return The heartbeats at the given index.
+   */
+  public long getHeartbeats(int index) {
+    return heartbeats_.getLong(index);
+  }
+  private int heartbeatsMemoizedSerializedSize = -1;
+
+  public static final int ADVANCES_FIELD_NUMBER = 9;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.Internal.LongList advances_ =
+      emptyLongList();
+  /**
+   * <pre>
+   * Heartbeat minus the heartbeat that the change is based on.
+   * </pre>
+   *
+   * <code>repeated uint64 advances = 9;</code>
+   * @return A list containing the advances.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.Long>
+      getAdvancesList() {
+    return advances_;
+  }
+  /**
+   * <pre>
+   * Heartbeat minus the heartbeat that the change is based on.
+   * </pre>
+   *
+   * <code>repeated uint64 advances = 9;</code>
+   * @return The count of advances.
+   */
+  public int getAdvancesCount() {
+    return advances_.size();
+  }
+  /**
+   * <pre>
+   * Heartbeat minus the heartbeat that the change is based on.
+   * </pre>
+   *
+   * <code>repeated uint64 advances = 9;</code>
+   * @param index The index of the element to return.
+   * @return The advances at the given index.
+   */
+  public long getAdvances(int index) {
+    return advances_.getLong(index);
+  }
+  private int advancesMemoizedSerializedSize = -1;
+
+  public static final int OFFSET_DISTANCES_FIELD_NUMBER = 10;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.Internal.LongList offsetDistances_ =
+      emptyLongList();
+  /**
+   * <pre>
+   * Applied offset of the member minus that of the sender.
+   * </pre>
+   *
+   * <code>repeated sint64 offset_distances = 10;</code>
+   * @return A list containing the offsetDistances.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.Long>
+      getOffsetDistancesList() {
+    return offsetDistances_;
+  }
+  /**
+   * <pre>
+   * Applied offset of the member minus that of the sender.
+   * </pre>
+   *
+   * <code>repeated sint64 offset_distances = 10;</code>
+   * @return The count of offsetDistances.
+   */
+  public int getOffsetDistancesCount() {
+    return offsetDistances_.size();
+  }
+  /**
+   * <pre>
+   * Applied offset of the member minus that of the sender.
+   * </pre>
+   *
+   * <code>repeated sint64 offset_distances = 10;</code>
+   * @param index The index of the element to return.
+   * @return The offsetDistances at the given index.
+   */
+  public long getOffsetDistances(int index) {
+    return offsetDistances_.getLong(index);
+  }
+  private int offsetDistancesMemoizedSerializedSize = -1;
+
+  public static final int CONTACT_AGES_FIELD_NUMBER = 11;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.Internal.IntList contactAges_ =
+      emptyIntList();
+  /**
+   * <pre>
+   * Contact age in units of 100 ms plus 1, rounded up; 0 means none.
+   * </pre>
+   *
+   * <code>repeated uint32 contact_ages = 11;</code>
+   * @return A list containing the contactAges.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.Integer>
+      getContactAgesList() {
+    return contactAges_;
+  }
+  /**
+   * <pre>
+   * Contact age in units of 100 ms plus 1, rounded up; 0 means none.
+   * </pre>
+   *
+   * <code>repeated uint32 contact_ages = 11;</code>
+   * @return The count of contactAges.
+   */
+  public int getContactAgesCount() {
+    return contactAges_.size();
+  }
+  /**
+   * <pre>
+   * Contact age in units of 100 ms plus 1, rounded up; 0 means none.
+   * </pre>
+   *
+   * <code>repeated uint32 contact_ages = 11;</code>
+   * @param index The index of the element to return.
+   * @return The contactAges at the given index.
+   */
+  public int getContactAges(int index) {
+    return contactAges_.getInt(index);
+  }
+  private int contactAgesMemoizedSerializedSize = -1;
+
+  public static final int CELL_COUNTS_FIELD_NUMBER = 12;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.Internal.IntList cellCounts_ =
+      emptyIntList();
+  /**
+   * <code>repeated uint32 cell_counts = 12;</code>
+   * @return A list containing the cellCounts.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.Integer>
+      getCellCountsList() {
+    return cellCounts_;
+  }
+  /**
+   * <code>repeated uint32 cell_counts = 12;</code>
+   * @return The count of cellCounts.
+   */
+  public int getCellCountsCount() {
+    return cellCounts_.size();
+  }
+  /**
+   * <code>repeated uint32 cell_counts = 12;</code>
+   * @param index The index of the element to return.
+   * @return The cellCounts at the given index.
+   */
+  public int getCellCounts(int index) {
+    return cellCounts_.getInt(index);
+  }
+  private int cellCountsMemoizedSerializedSize = -1;
+
+  public static final int INDEX_STEPS_FIELD_NUMBER = 13;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.Internal.IntList indexSteps_ =
+      emptyIntList();
+  /**
+   * <pre>
+   * Columns with one number for each cell, in the order of the members and then of the index. The index is stored as
+   * the difference to the one before; the first of a member as the difference to -1.
+   * </pre>
+   *
+   * <code>repeated uint32 index_steps = 13;</code>
+   * @return A list containing the indexSteps.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.Integer>
+      getIndexStepsList() {
+    return indexSteps_;
+  }
+  /**
+   * <pre>
+   * Columns with one number for each cell, in the order of the members and then of the index. The index is stored as
+   * the difference to the one before; the first of a member as the difference to -1.
+   * </pre>
+   *
+   * <code>repeated uint32 index_steps = 13;</code>
+   * @return The count of indexSteps.
+   */
+  public int getIndexStepsCount() {
+    return indexSteps_.size();
+  }
+  /**
+   * <pre>
+   * Columns with one number for each cell, in the order of the members and then of the index. The index is stored as
+   * the difference to the one before; the first of a member as the difference to -1.
+   * </pre>
+   *
+   * <code>repeated uint32 index_steps = 13;</code>
+   * @param index The index of the element to return.
+   * @return The indexSteps at the given index.
+   */
+  public int getIndexSteps(int index) {
+    return indexSteps_.getInt(index);
+  }
+  private int indexStepsMemoizedSerializedSize = -1;
+
+  public static final int VALUES_FIELD_NUMBER = 14;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.Internal.LongList values_ =
+      emptyLongList();
+  /**
+   * <code>repeated uint64 values = 14;</code>
+   * @return A list containing the values.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.Long>
+      getValuesList() {
+    return values_;
+  }
+  /**
+   * <code>repeated uint64 values = 14;</code>
+   * @return The count of values.
+   */
+  public int getValuesCount() {
+    return values_.size();
+  }
+  /**
+   * <code>repeated uint64 values = 14;</code>
+   * @param index The index of the element to return.
+   * @return The values at the given index.
+   */
+  public long getValues(int index) {
+    return values_.getLong(index);
+  }
+  private int valuesMemoizedSerializedSize = -1;
+
+  public static final int NAMES_FIELD_NUMBER = 15;
+  @SuppressWarnings("serial")
+  private java.util.List<dogwoodgrade.wire.WireCellName> names_;
+  /**
+   * <pre>
+   * Meaning of the cells that the receiver may not know.
+   * </pre>
+   *
+   * <code>repeated .dogwoodgrade.wire.WireCellName names = 15;</code>
+   */
+  @java.lang.Override
+  public java.util.List<dogwoodgrade.wire.WireCellName> getNamesList() {
+    return names_;
+  }
+  /**
+   * <pre>
+   * Meaning of the cells that the receiver may not know.
+   * </pre>
+   *
+   * <code>repeated .dogwoodgrade.wire.WireCellName names = 15;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends dogwoodgrade.wire.WireCellNameOrBuilder> 
+      getNamesOrBuilderList() {
+    return names_;
+  }
+  /**
+   * <pre>
+   * Meaning of the cells that the receiver may not know.
+   * </pre>
+   *
+   * <code>repeated .dogwoodgrade.wire.WireCellName names = 15;</code>
+   */
+  @java.lang.Override
+  public int getNamesCount() {
+    return names_.size();
+  }
+  /**
+   * <pre>
+   * Meaning of the cells that the receiver may not know.
+   * </pre>
+   *
+   * <code>repeated .dogwoodgrade.wire.WireCellName names = 15;</code>
+   */
+  @java.lang.Override
+  public dogwoodgrade.wire.WireCellName getNames(int index) {
+    return names_.get(index);
+  }
+  /**
+   * <pre>
+   * Meaning of the cells that the receiver may not know.
+   * </pre>
+   *
+   * <code>repeated .dogwoodgrade.wire.WireCellName names = 15;</code>
+   */
+  @java.lang.Override
+  public dogwoodgrade.wire.WireCellNameOrBuilder getNamesOrBuilder(
+      int index) {
+    return names_.get(index);
   }
 
   private byte memoizedIsInitialized = -1;
@@ -237,14 +635,73 @@
     if (acknowledged_ != 0L) {
       output.writeUInt64(3, acknowledged_);
     }
-    for (int i = 0; i < members_.size(); i++) {
-      output.writeMessage(4, members_.get(i));
-    }
     if (appliedOffset_ != 0L) {
-      output.writeUInt64(5, appliedOffset_);
+      output.writeUInt64(4, appliedOffset_);
     }
     if (contactAge_ != 0L) {
-      output.writeUInt64(6, contactAge_);
+      output.writeUInt64(5, contactAge_);
+    }
+    for (int i = 0; i < introductions_.size(); i++) {
+      output.writeMessage(6, introductions_.get(i));
+    }
+    if (getKeysList().size() > 0) {
+      output.writeUInt32NoTag(58);
+      output.writeUInt32NoTag(keysMemoizedSerializedSize);
+    }
+    for (int i = 0; i < keys_.size(); i++) {
+      output.writeFixed32NoTag(keys_.getInt(i));
+    }
+    if (getHeartbeatsList().size() > 0) {
+      output.writeUInt32NoTag(66);
+      output.writeUInt32NoTag(heartbeatsMemoizedSerializedSize);
+    }
+    for (int i = 0; i < heartbeats_.size(); i++) {
+      output.writeUInt64NoTag(heartbeats_.getLong(i));
+    }
+    if (getAdvancesList().size() > 0) {
+      output.writeUInt32NoTag(74);
+      output.writeUInt32NoTag(advancesMemoizedSerializedSize);
+    }
+    for (int i = 0; i < advances_.size(); i++) {
+      output.writeUInt64NoTag(advances_.getLong(i));
+    }
+    if (getOffsetDistancesList().size() > 0) {
+      output.writeUInt32NoTag(82);
+      output.writeUInt32NoTag(offsetDistancesMemoizedSerializedSize);
+    }
+    for (int i = 0; i < offsetDistances_.size(); i++) {
+      output.writeSInt64NoTag(offsetDistances_.getLong(i));
+    }
+    if (getContactAgesList().size() > 0) {
+      output.writeUInt32NoTag(90);
+      output.writeUInt32NoTag(contactAgesMemoizedSerializedSize);
+    }
+    for (int i = 0; i < contactAges_.size(); i++) {
+      output.writeUInt32NoTag(contactAges_.getInt(i));
+    }
+    if (getCellCountsList().size() > 0) {
+      output.writeUInt32NoTag(98);
+      output.writeUInt32NoTag(cellCountsMemoizedSerializedSize);
+    }
+    for (int i = 0; i < cellCounts_.size(); i++) {
+      output.writeUInt32NoTag(cellCounts_.getInt(i));
+    }
+    if (getIndexStepsList().size() > 0) {
+      output.writeUInt32NoTag(106);
+      output.writeUInt32NoTag(indexStepsMemoizedSerializedSize);
+    }
+    for (int i = 0; i < indexSteps_.size(); i++) {
+      output.writeUInt32NoTag(indexSteps_.getInt(i));
+    }
+    if (getValuesList().size() > 0) {
+      output.writeUInt32NoTag(114);
+      output.writeUInt32NoTag(valuesMemoizedSerializedSize);
+    }
+    for (int i = 0; i < values_.size(); i++) {
+      output.writeUInt64NoTag(values_.getLong(i));
+    }
+    for (int i = 0; i < names_.size(); i++) {
+      output.writeMessage(15, names_.get(i));
     }
     getUnknownFields().writeTo(output);
   }
@@ -279,23 +736,141 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(3, acknowledged_);
     }
-
+    if (appliedOffset_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(4, appliedOffset_);
+    }
+    if (contactAge_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(5, contactAge_);
+    }
+
         {
-          final int count = members_.size();
+          final int count = introductions_.size();
           for (int i = 0; i < count; i++) {
             size += com.google.protobuf.CodedOutputStream
-              .computeMessageSizeNoTag(members_.get(i));
+              .computeMessageSizeNoTag(introductions_.get(i));
           }
           size += 1 * count;
         }
-    if (appliedOffset_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(5, appliedOffset_);
+    {
+      int dataSize = 0;
+      dataSize = 4 * getKeysList().size();
+      size += dataSize;
+      if (!getKeysList().isEmpty()) {
+        size += 1;
+        size += com.google.protobuf.CodedOutputStream
+            .computeInt32SizeNoTag(dataSize);
+      }
+      keysMemoizedSerializedSize = dataSize;
     }
-    if (contactAge_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(6, contactAge_);
+    {
+      int dataSize = 0;
+      for (int i = 0; i < heartbeats_.size(); i++) {
+        dataSize += com.google.protobuf.CodedOutputStream
+          .computeUInt64SizeNoTag(heartbeats_.getLong(i));
+      }
+      size += dataSize;
+      if (!getHeartbeatsList().isEmpty()) {
+        size += 1;
+        size += com.google.protobuf.CodedOutputStream
+            .computeInt32SizeNoTag(dataSize);
+      }
+      heartbeatsMemoizedSerializedSize = dataSize;
+    }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < advances_.size(); i++) {
+        dataSize += com.google.protobuf.CodedOutputStream
+          .computeUInt64SizeNoTag(advances_.getLong(i));
+      }
+      size += dataSize;
+      if (!getAdvancesList().isEmpty()) {
+        size += 1;
+        size += com.google.protobuf.CodedOutputStream
+            .computeInt32SizeNoTag(dataSize);
+      }
+      advancesMemoizedSerializedSize = dataSize;
+    }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < offsetDistances_.size(); i++) {
+        dataSize += com.google.protobuf.CodedOutputStream
+          .computeSInt64SizeNoTag(offsetDistances_.getLong(i));
+      }
+      size += dataSize;
+      if (!getOffsetDistancesList().isEmpty()) {
+        size += 1;
+        size += com.google.protobuf.CodedOutputStream
+            .computeInt32SizeNoTag(dataSize);
+      }
+      offsetDistancesMemoizedSerializedSize = dataSize;
+    }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < contactAges_.size(); i++) {
+        dataSize += com.google.protobuf.CodedOutputStream
+          .computeUInt32SizeNoTag(contactAges_.getInt(i));
+      }
+      size += dataSize;
+      if (!getContactAgesList().isEmpty()) {
+        size += 1;
+        size += com.google.protobuf.CodedOutputStream
+            .computeInt32SizeNoTag(dataSize);
+      }
+      contactAgesMemoizedSerializedSize = dataSize;
+    }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < cellCounts_.size(); i++) {
+        dataSize += com.google.protobuf.CodedOutputStream
+          .computeUInt32SizeNoTag(cellCounts_.getInt(i));
+      }
+      size += dataSize;
+      if (!getCellCountsList().isEmpty()) {
+        size += 1;
+        size += com.google.protobuf.CodedOutputStream
+            .computeInt32SizeNoTag(dataSize);
+      }
+      cellCountsMemoizedSerializedSize = dataSize;
+    }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < indexSteps_.size(); i++) {
+        dataSize += com.google.protobuf.CodedOutputStream
+          .computeUInt32SizeNoTag(indexSteps_.getInt(i));
+      }
+      size += dataSize;
+      if (!getIndexStepsList().isEmpty()) {
+        size += 1;
+        size += com.google.protobuf.CodedOutputStream
+            .computeInt32SizeNoTag(dataSize);
+      }
+      indexStepsMemoizedSerializedSize = dataSize;
+    }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < values_.size(); i++) {
+        dataSize += com.google.protobuf.CodedOutputStream
+          .computeUInt64SizeNoTag(values_.getLong(i));
+      }
+      size += dataSize;
+      if (!getValuesList().isEmpty()) {
+        size += 1;
+        size += com.google.protobuf.CodedOutputStream
+            .computeInt32SizeNoTag(dataSize);
+      }
+      valuesMemoizedSerializedSize = dataSize;
     }
+
+        {
+          final int count = names_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(names_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -326,12 +901,30 @@
         .equals(other.getDigestHeartbeatsList())) return false;
     if (getAcknowledged()
         != other.getAcknowledged()) return false;
-    if (!getMembersList()
-        .equals(other.getMembersList())) return false;
     if (getAppliedOffset()
         != other.getAppliedOffset()) return false;
     if (getContactAge()
         != other.getContactAge()) return false;
+    if (!getIntroductionsList()
+        .equals(other.getIntroductionsList())) return false;
+    if (!getKeysList()
+        .equals(other.getKeysList())) return false;
+    if (!getHeartbeatsList()
+        .equals(other.getHeartbeatsList())) return false;
+    if (!getAdvancesList()
+        .equals(other.getAdvancesList())) return false;
+    if (!getOffsetDistancesList()
+        .equals(other.getOffsetDistancesList())) return false;
+    if (!getContactAgesList()
+        .equals(other.getContactAgesList())) return false;
+    if (!getCellCountsList()
+        .equals(other.getCellCountsList())) return false;
+    if (!getIndexStepsList()
+        .equals(other.getIndexStepsList())) return false;
+    if (!getValuesList()
+        .equals(other.getValuesList())) return false;
+    if (!getNamesList()
+        .equals(other.getNamesList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -354,16 +947,52 @@
     hash = (37 * hash) + ACKNOWLEDGED_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getAcknowledged());
-    if (getMembersCount() > 0) {
-      hash = (37 * hash) + MEMBERS_FIELD_NUMBER;
-      hash = (53 * hash) + getMembersList().hashCode();
-    }
     hash = (37 * hash) + APPLIED_OFFSET_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getAppliedOffset());
     hash = (37 * hash) + CONTACT_AGE_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getContactAge());
+    if (getIntroductionsCount() > 0) {
+      hash = (37 * hash) + INTRODUCTIONS_FIELD_NUMBER;
+      hash = (53 * hash) + getIntroductionsList().hashCode();
+    }
+    if (getKeysCount() > 0) {
+      hash = (37 * hash) + KEYS_FIELD_NUMBER;
+      hash = (53 * hash) + getKeysList().hashCode();
+    }
+    if (getHeartbeatsCount() > 0) {
+      hash = (37 * hash) + HEARTBEATS_FIELD_NUMBER;
+      hash = (53 * hash) + getHeartbeatsList().hashCode();
+    }
+    if (getAdvancesCount() > 0) {
+      hash = (37 * hash) + ADVANCES_FIELD_NUMBER;
+      hash = (53 * hash) + getAdvancesList().hashCode();
+    }
+    if (getOffsetDistancesCount() > 0) {
+      hash = (37 * hash) + OFFSET_DISTANCES_FIELD_NUMBER;
+      hash = (53 * hash) + getOffsetDistancesList().hashCode();
+    }
+    if (getContactAgesCount() > 0) {
+      hash = (37 * hash) + CONTACT_AGES_FIELD_NUMBER;
+      hash = (53 * hash) + getContactAgesList().hashCode();
+    }
+    if (getCellCountsCount() > 0) {
+      hash = (37 * hash) + CELL_COUNTS_FIELD_NUMBER;
+      hash = (53 * hash) + getCellCountsList().hashCode();
+    }
+    if (getIndexStepsCount() > 0) {
+      hash = (37 * hash) + INDEX_STEPS_FIELD_NUMBER;
+      hash = (53 * hash) + getIndexStepsList().hashCode();
+    }
+    if (getValuesCount() > 0) {
+      hash = (37 * hash) + VALUES_FIELD_NUMBER;
+      hash = (53 * hash) + getValuesList().hashCode();
+    }
+    if (getNamesCount() > 0) {
+      hash = (37 * hash) + NAMES_FIELD_NUMBER;
+      hash = (53 * hash) + getNamesList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -462,6 +1091,11 @@
     return builder;
   }
   /**
+   * <pre>
+   * Numbers of the members are stored as columns, one packed list per field, because the tags of a message per member
+   * cost more bytes than the numbers themselves.
+   * </pre>
+   *
    * Protobuf type {@code dogwoodgrade.wire.WireGossip}
    */
   public static final class Builder extends
@@ -498,15 +1132,30 @@
       digestKeys_ = emptyIntList();
       digestHeartbeats_ = emptyLongList();
       acknowledged_ = 0L;
-      if (membersBuilder_ == null) {
-        members_ = java.util.Collections.emptyList();
-      } else {
-        members_ = null;
-        membersBuilder_.clear();
-      }
-      bitField0_ = (bitField0_ & ~0x00000008);
       appliedOffset_ = 0L;
       contactAge_ = 0L;
+      if (introductionsBuilder_ == null) {
+        introductions_ = java.util.Collections.emptyList();
+      } else {
+        introductions_ = null;
+        introductionsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000020);
+      keys_ = emptyIntList();
+      heartbeats_ = emptyLongList();
+      advances_ = emptyLongList();
+      offsetDistances_ = emptyLongList();
+      contactAges_ = emptyIntList();
+      cellCounts_ = emptyIntList();
+      indexSteps_ = emptyIntList();
+      values_ = emptyLongList();
+      if (namesBuilder_ == null) {
+        names_ = java.util.Collections.emptyList();
+      } else {
+        names_ = null;
+        namesBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00004000);
       return this;
     }
 
@@ -540,14 +1189,23 @@
     }
 
     private void buildPartialRepeatedFields(dogwoodgrade.wire.WireGossip result) {
-      if (membersBuilder_ == null) {
-        if (((bitField0_ & 0x00000008) != 0)) {
-          members_ = java.util.Collections.unmodifiableList(members_);
-          bitField0_ = (bitField0_ & ~0x00000008);
+      if (introductionsBuilder_ == null) {
+        if (((bitField0_ & 0x00000020) != 0)) {
+          introductions_ = java.util.Collections.unmodifiableList(introductions_);
+          bitField0_ = (bitField0_ & ~0x00000020);
         }
-        result.members_ = members_;
+        result.introductions_ = introductions_;
       } else {
-        result.members_ = membersBuilder_.build();
+        result.introductions_ = introductionsBuilder_.build();
+      }
+      if (namesBuilder_ == null) {
+        if (((bitField0_ & 0x00004000) != 0)) {
+          names_ = java.util.Collections.unmodifiableList(names_);
+          bitField0_ = (bitField0_ & ~0x00004000);
+        }
+        result.names_ = names_;
+      } else {
+        result.names_ = namesBuilder_.build();
       }
     }
 
@@ -564,12 +1222,44 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.acknowledged_ = acknowledged_;
       }
-      if (((from_bitField0_ & 0x00000010) != 0)) {
+      if (((from_bitField0_ & 0x00000008) != 0)) {
         result.appliedOffset_ = appliedOffset_;
       }
-      if (((from_bitField0_ & 0x00000020) != 0)) {
+      if (((from_bitField0_ & 0x00000010) != 0)) {
         result.contactAge_ = contactAge_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        keys_.makeImmutable();
+        result.keys_ = keys_;
+      }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        heartbeats_.makeImmutable();
+        result.heartbeats_ = heartbeats_;
+      }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        advances_.makeImmutable();
+        result.advances_ = advances_;
+      }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        offsetDistances_.makeImmutable();
+        result.offsetDistances_ = offsetDistances_;
+      }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        contactAges_.makeImmutable();
+        result.contactAges_ = contactAges_;
+      }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        cellCounts_.makeImmutable();
+        result.cellCounts_ = cellCounts_;
+      }
+      if (((from_bitField0_ & 0x00001000) != 0)) {
+        indexSteps_.makeImmutable();
+        result.indexSteps_ = indexSteps_;
+      }
+      if (((from_bitField0_ & 0x00002000) != 0)) {
+        values_.makeImmutable();
+        result.values_ = values_;
+      }
     }
 
     @java.lang.Override
@@ -609,37 +1299,151 @@
       if (other.getAcknowledged() != 0L) {
         setAcknowledged(other.getAcknowledged());
       }
-      if (membersBuilder_ == null) {
-        if (!other.members_.isEmpty()) {
-          if (members_.isEmpty()) {
-            members_ = other.members_;
-            bitField0_ = (bitField0_ & ~0x00000008);
+      if (other.getAppliedOffset() != 0L) {
+        setAppliedOffset(other.getAppliedOffset());
+      }
+      if (other.getContactAge() != 0L) {
+        setContactAge(other.getContactAge());
+      }
+      if (introductionsBuilder_ == null) {
+        if (!other.introductions_.isEmpty()) {
+          if (introductions_.isEmpty()) {
+            introductions_ = other.introductions_;
+            bitField0_ = (bitField0_ & ~0x00000020);
           } else {
-            ensureMembersIsMutable();
-            members_.addAll(other.members_);
+            ensureIntroductionsIsMutable();
+            introductions_.addAll(other.introductions_);
           }
           onChanged();
         }
       } else {
-        if (!other.members_.isEmpty()) {
-          if (membersBuilder_.isEmpty()) {
-            membersBuilder_.dispose();
-            membersBuilder_ = null;
-            members_ = other.members_;
-            bitField0_ = (bitField0_ & ~0x00000008);
-            membersBuilder_ = 
+        if (!other.introductions_.isEmpty()) {
+          if (introductionsBuilder_.isEmpty()) {
+            introductionsBuilder_.dispose();
+            introductionsBuilder_ = null;
+            introductions_ = other.introductions_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+            introductionsBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetMembersFieldBuilder() : null;
+                 internalGetIntroductionsFieldBuilder() : null;
           } else {
-            membersBuilder_.addAllMessages(other.members_);
+            introductionsBuilder_.addAllMessages(other.introductions_);
           }
         }
       }
-      if (other.getAppliedOffset() != 0L) {
-        setAppliedOffset(other.getAppliedOffset());
+      if (!other.keys_.isEmpty()) {
+        if (keys_.isEmpty()) {
+          keys_ = other.keys_;
+          keys_.makeImmutable();
+          bitField0_ |= 0x00000040;
+        } else {
+          ensureKeysIsMutable();
+          keys_.addAll(other.keys_);
+        }
+        onChanged();
       }
-      if (other.getContactAge() != 0L) {
-        setContactAge(other.getContactAge());
+      if (!other.heartbeats_.isEmpty()) {
+        if (heartbeats_.isEmpty()) {
+          heartbeats_ = other.heartbeats_;
+          heartbeats_.makeImmutable();
+          bitField0_ |= 0x00000080;
+        } else {
+          ensureHeartbeatsIsMutable();
+          heartbeats_.addAll(other.heartbeats_);
+        }
+        onChanged();
+      }
+      if (!other.advances_.isEmpty()) {
+        if (advances_.isEmpty()) {
+          advances_ = other.advances_;
+          advances_.makeImmutable();
+          bitField0_ |= 0x00000100;
+        } else {
+          ensureAdvancesIsMutable();
+          advances_.addAll(other.advances_);
+        }
+        onChanged();
+      }
+      if (!other.offsetDistances_.isEmpty()) {
+        if (offsetDistances_.isEmpty()) {
+          offsetDistances_ = other.offsetDistances_;
+          offsetDistances_.makeImmutable();
+          bitField0_ |= 0x00000200;
+        } else {
+          ensureOffsetDistancesIsMutable();
+          offsetDistances_.addAll(other.offsetDistances_);
+        }
+        onChanged();
+      }
+      if (!other.contactAges_.isEmpty()) {
+        if (contactAges_.isEmpty()) {
+          contactAges_ = other.contactAges_;
+          contactAges_.makeImmutable();
+          bitField0_ |= 0x00000400;
+        } else {
+          ensureContactAgesIsMutable();
+          contactAges_.addAll(other.contactAges_);
+        }
+        onChanged();
+      }
+      if (!other.cellCounts_.isEmpty()) {
+        if (cellCounts_.isEmpty()) {
+          cellCounts_ = other.cellCounts_;
+          cellCounts_.makeImmutable();
+          bitField0_ |= 0x00000800;
+        } else {
+          ensureCellCountsIsMutable();
+          cellCounts_.addAll(other.cellCounts_);
+        }
+        onChanged();
+      }
+      if (!other.indexSteps_.isEmpty()) {
+        if (indexSteps_.isEmpty()) {
+          indexSteps_ = other.indexSteps_;
+          indexSteps_.makeImmutable();
+          bitField0_ |= 0x00001000;
+        } else {
+          ensureIndexStepsIsMutable();
+          indexSteps_.addAll(other.indexSteps_);
+        }
+        onChanged();
+      }
+      if (!other.values_.isEmpty()) {
+        if (values_.isEmpty()) {
+          values_ = other.values_;
+          values_.makeImmutable();
+          bitField0_ |= 0x00002000;
+        } else {
+          ensureValuesIsMutable();
+          values_.addAll(other.values_);
+        }
+        onChanged();
+      }
+      if (namesBuilder_ == null) {
+        if (!other.names_.isEmpty()) {
+          if (names_.isEmpty()) {
+            names_ = other.names_;
+            bitField0_ = (bitField0_ & ~0x00004000);
+          } else {
+            ensureNamesIsMutable();
+            names_.addAll(other.names_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.names_.isEmpty()) {
+          if (namesBuilder_.isEmpty()) {
+            namesBuilder_.dispose();
+            namesBuilder_ = null;
+            names_ = other.names_;
+            bitField0_ = (bitField0_ & ~0x00004000);
+            namesBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetNamesFieldBuilder() : null;
+          } else {
+            namesBuilder_.addAllMessages(other.names_);
+          }
+        }
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -703,29 +1507,171 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
-            case 34: {
-              dogwoodgrade.wire.WireMember m =
+            case 32: {
+              appliedOffset_ = input.readUInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
+            case 40: {
+              contactAge_ = input.readUInt64();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
+            case 50: {
+              dogwoodgrade.wire.WireIntroduction m =
                   input.readMessage(
-                      dogwoodgrade.wire.WireMember.parser(),
+                      dogwoodgrade.wire.WireIntroduction.parser(),
                       extensionRegistry);
-              if (membersBuilder_ == null) {
-                ensureMembersIsMutable();
-                members_.add(m);
+              if (introductionsBuilder_ == null) {
+                ensureIntroductionsIsMutable();
+                introductions_.add(m);
               } else {
-                membersBuilder_.addMessage(m);
+                introductionsBuilder_.addMessage(m);
               }
               break;
-            } // case 34
-            case 40: {
-              appliedOffset_ = input.readUInt64();
-              bitField0_ |= 0x00000010;
+            } // case 50
+            case 61: {
+              int v = input.readFixed32();
+              ensureKeysIsMutable();
+              keys_.addInt(v);
               break;
-            } // case 40
-            case 48: {
-              contactAge_ = input.readUInt64();
-              bitField0_ |= 0x00000020;
+            } // case 61
+            case 58: {
+              int length = input.readRawVarint32();
+              int limit = input.pushLimit(length);
+              int alloc = length > 4096 ? 4096 : length;
+              ensureKeysIsMutable(alloc / 4);
+              while (input.getBytesUntilLimit() > 0) {
+                keys_.addInt(input.readFixed32());
+              }
+              input.popLimit(limit);
+              break;
+            } // case 58
+            case 64: {
+              long v = input.readUInt64();
+              ensureHeartbeatsIsMutable();
+              heartbeats_.addLong(v);
+              break;
+            } // case 64
+            case 66: {
+              int length = input.readRawVarint32();
+              int limit = input.pushLimit(length);
+              ensureHeartbeatsIsMutable();
+              while (input.getBytesUntilLimit() > 0) {
+                heartbeats_.addLong(input.readUInt64());
+              }
+              input.popLimit(limit);
+              break;
+            } // case 66
+            case 72: {
+              long v = input.readUInt64();
+              ensureAdvancesIsMutable();
+              advances_.addLong(v);
+              break;
+            } // case 72
+            case 74: {
+              int length = input.readRawVarint32();
+              int limit = input.pushLimit(length);
+              ensureAdvancesIsMutable();
+              while (input.getBytesUntilLimit() > 0) {
+                advances_.addLong(input.readUInt64());
+              }
+              input.popLimit(limit);
+              break;
+            } // case 74
+            case 80: {
+              long v = input.readSInt64();
+              ensureOffsetDistancesIsMutable();
+              offsetDistances_.addLong(v);
+              break;
+            } // case 80
+            case 82: {
+              int length = input.readRawVarint32();
+              int limit = input.pushLimit(length);
+              ensureOffsetDistancesIsMutable();
+              while (input.getBytesUntilLimit() > 0) {
+                offsetDistances_.addLong(input.readSInt64());
+              }
+              input.popLimit(limit);
+              break;
+            } // case 82
+            case 88: {
+              int v = input.readUInt32();
+              ensureContactAgesIsMutable();
+              contactAges_.addInt(v);
+              break;
+            } // case 88
+            case 90: {
+              int length = input.readRawVarint32();
+              int limit = input.pushLimit(length);
+              ensureContactAgesIsMutable();
+              while (input.getBytesUntilLimit() > 0) {
+                contactAges_.addInt(input.readUInt32());
+              }
+              input.popLimit(limit);
+              break;
+            } // case 90
+            case 96: {
+              int v = input.readUInt32();
+              ensureCellCountsIsMutable();
+              cellCounts_.addInt(v);
+              break;
+            } // case 96
+            case 98: {
+              int length = input.readRawVarint32();
+              int limit = input.pushLimit(length);
+              ensureCellCountsIsMutable();
+              while (input.getBytesUntilLimit() > 0) {
+                cellCounts_.addInt(input.readUInt32());
+              }
+              input.popLimit(limit);
+              break;
+            } // case 98
+            case 104: {
+              int v = input.readUInt32();
+              ensureIndexStepsIsMutable();
+              indexSteps_.addInt(v);
+              break;
+            } // case 104
+            case 106: {
+              int length = input.readRawVarint32();
+              int limit = input.pushLimit(length);
+              ensureIndexStepsIsMutable();
+              while (input.getBytesUntilLimit() > 0) {
+                indexSteps_.addInt(input.readUInt32());
+              }
+              input.popLimit(limit);
+              break;
+            } // case 106
+            case 112: {
+              long v = input.readUInt64();
+              ensureValuesIsMutable();
+              values_.addLong(v);
+              break;
+            } // case 112
+            case 114: {
+              int length = input.readRawVarint32();
+              int limit = input.pushLimit(length);
+              ensureValuesIsMutable();
+              while (input.getBytesUntilLimit() > 0) {
+                values_.addLong(input.readUInt64());
+              }
+              input.popLimit(limit);
+              break;
+            } // case 114
+            case 122: {
+              dogwoodgrade.wire.WireCellName m =
+                  input.readMessage(
+                      dogwoodgrade.wire.WireCellName.parser(),
+                      extensionRegistry);
+              if (namesBuilder_ == null) {
+                ensureNamesIsMutable();
+                names_.add(m);
+              } else {
+                namesBuilder_.addMessage(m);
+              }
               break;
-            } // case 48
+            } // case 122
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -741,562 +1687,1765 @@
       } // finally
       return this;
     }
-    private int bitField0_;
+    private int bitField0_;
+
+    private com.google.protobuf.Internal.IntList digestKeys_ = emptyIntList();
+    private void ensureDigestKeysIsMutable() {
+      if (!digestKeys_.isModifiable()) {
+        digestKeys_ = makeMutableCopy(digestKeys_);
+      }
+      bitField0_ |= 0x00000001;
+    }
+    private void ensureDigestKeysIsMutable(int capacity) {
+      if (!digestKeys_.isModifiable()) {
+        digestKeys_ = makeMutableCopy(digestKeys_, capacity);
+      }
+      bitField0_ |= 0x00000001;
+    }
+    /**
+     * <pre>
+     * Keys and held heartbeats of the members that the sender knows, pairwise.
+     * </pre>
+     *
+     * <code>repeated fixed32 digest_keys = 1;</code>
+     * @return A list containing the digestKeys.
+     */
+    public java.util.List<java.lang.Integer>
+        getDigestKeysList() {
+      digestKeys_.makeImmutable();
+      return digestKeys_;
+    }
+    /**
+     * <pre>
+     * Keys and held heartbeats of the members that the sender knows, pairwise.
+     * </pre>
+     *
+     * <code>repeated fixed32 digest_keys = 1;</code>
+     * @return The count of digestKeys.
+     */
+    public int getDigestKeysCount() {
+      return digestKeys_.size();
+    }
+    /**
+     * <pre>
+     * Keys and held heartbeats of the members that the sender knows, pairwise.
+     * </pre>
+     *
+     * <code>repeated fixed32 digest_keys = 1;</code>
+     * @param index The index of the element to return.
+     * @return The digestKeys at the given index.
+     */
+    public int getDigestKeys(int index) {
+      return digestKeys_.getInt(index);
+    }
+    /**
+     * <pre>
+     * Keys and held heartbeats of the members that the sender knows, pairwise.
+     * </pre>
+     *
+     * <code>repeated fixed32 digest_keys = 1;</code>
+     * @param index The index to set the value at.
+     * @param value The digestKeys to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDigestKeys(
+        int index, int value) {
+
+      ensureDigestKeysIsMutable();
+      digestKeys_.setInt(index, value);
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Keys and held heartbeats of the members that the sender knows, pairwise.
+     * </pre>
+     *
+     * <code>repeated fixed32 digest_keys = 1;</code>
+     * @param value The digestKeys to add.
+     * @return This builder for chaining.
+     */
+    public Builder addDigestKeys(int value) {
+
+      ensureDigestKeysIsMutable();
+      digestKeys_.addInt(value);
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Keys and held heartbeats of the members that the sender knows, pairwise.
+     * </pre>
+     *
+     * <code>repeated fixed32 digest_keys = 1;</code>
+     * @param values The digestKeys to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllDigestKeys(
+        java.lang.Iterable<? extends java.lang.Integer> values) {
+      ensureDigestKeysIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, digestKeys_);
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Keys and held heartbeats of the members that the sender knows, pairwise.
+     * </pre>
+     *
+     * <code>repeated fixed32 digest_keys = 1;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDigestKeys() {
+      digestKeys_ = emptyIntList();
+      bitField0_ = (bitField0_ & ~0x00000001);
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.Internal.LongList digestHeartbeats_ = emptyLongList();
+    private void ensureDigestHeartbeatsIsMutable() {
+      if (!digestHeartbeats_.isModifiable()) {
+        digestHeartbeats_ = makeMutableCopy(digestHeartbeats_);
+      }
+      bitField0_ |= 0x00000002;
+    }
+    /**
+     * <code>repeated uint64 digest_heartbeats = 2;</code>
+     * @return A list containing the digestHeartbeats.
+     */
+    public java.util.List<java.lang.Long>
+        getDigestHeartbeatsList() {
+      digestHeartbeats_.makeImmutable();
+      return digestHeartbeats_;
+    }
+    /**
+     * <code>repeated uint64 digest_heartbeats = 2;</code>
+     * @return The count of digestHeartbeats.
+     */
+    public int getDigestHeartbeatsCount() {
+      return digestHeartbeats_.size();
+    }
+    /**
+     * <code>repeated uint64 digest_heartbeats = 2;</code>
+     * @param index The index of the element to return.
+     * @return The digestHeartbeats at the given index.
+     */
+    public long getDigestHeartbeats(int index) {
+      return digestHeartbeats_.getLong(index);
+    }
+    /**
+     * <code>repeated uint64 digest_heartbeats = 2;</code>
+     * @param index The index to set the value at.
+     * @param value The digestHeartbeats to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDigestHeartbeats(
+        int index, long value) {
+
+      ensureDigestHeartbeatsIsMutable();
+      digestHeartbeats_.setLong(index, value);
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated uint64 digest_heartbeats = 2;</code>
+     * @param value The digestHeartbeats to add.
+     * @return This builder for chaining.
+     */
+    public Builder addDigestHeartbeats(long value) {
+
+      ensureDigestHeartbeatsIsMutable();
+      digestHeartbeats_.addLong(value);
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated uint64 digest_heartbeats = 2;</code>
+     * @param values The digestHeartbeats to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllDigestHeartbeats(
+        java.lang.Iterable<? extends java.lang.Long> values) {
+      ensureDigestHeartbeatsIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, digestHeartbeats_);
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated uint64 digest_heartbeats = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDigestHeartbeats() {
+      digestHeartbeats_ = emptyLongList();
+      bitField0_ = (bitField0_ & ~0x00000002);
+      onChanged();
+      return this;
+    }
+
+    private long acknowledged_ ;
+    /**
+     * <pre>
+     * Heartbeat of the receiver that the sender holds.
+     * </pre>
+     *
+     * <code>uint64 acknowledged = 3;</code>
+     * @return The acknowledged.
+     */
+    @java.lang.Override
+    public long getAcknowledged() {
+      return acknowledged_;
+    }
+    /**
+     * <pre>
+     * Heartbeat of the receiver that the sender holds.
+     * </pre>
+     *
+     * <code>uint64 acknowledged = 3;</code>
+     * @param value The acknowledged to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAcknowledged(long value) {
+
+      acknowledged_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Heartbeat of the receiver that the sender holds.
+     * </pre>
+     *
+     * <code>uint64 acknowledged = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAcknowledged() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      acknowledged_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long appliedOffset_ ;
+    /**
+     * <pre>
+     * Folded state of the sender at the time of this message; the age is in milliseconds plus 1, 0 means none.
+     * </pre>
+     *
+     * <code>uint64 applied_offset = 4;</code>
+     * @return The appliedOffset.
+     */
+    @java.lang.Override
+    public long getAppliedOffset() {
+      return appliedOffset_;
+    }
+    /**
+     * <pre>
+     * Folded state of the sender at the time of this message; the age is in milliseconds plus 1, 0 means none.
+     * </pre>
+     *
+     * <code>uint64 applied_offset = 4;</code>
+     * @param value The appliedOffset to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAppliedOffset(long value) {
+
+      appliedOffset_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Folded state of the sender at the time of this message; the age is in milliseconds plus 1, 0 means none.
+     * </pre>
+     *
+     * <code>uint64 applied_offset = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAppliedOffset() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      appliedOffset_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long contactAge_ ;
+    /**
+     * <code>uint64 contact_age = 5;</code>
+     * @return The contactAge.
+     */
+    @java.lang.Override
+    public long getContactAge() {
+      return contactAge_;
+    }
+    /**
+     * <code>uint64 contact_age = 5;</code>
+     * @param value The contactAge to set.
+     * @return This builder for chaining.
+     */
+    public Builder setContactAge(long value) {
+
+      contactAge_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint64 contact_age = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearContactAge() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      contactAge_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private java.util.List<dogwoodgrade.wire.WireIntroduction> introductions_ =
+      java.util.Collections.emptyList();
+    private void ensureIntroductionsIsMutable() {
+      if (!((bitField0_ & 0x00000020) != 0)) {
+        introductions_ = new java.util.ArrayList<dogwoodgrade.wire.WireIntroduction>(introductions_);
+        bitField0_ |= 0x00000020;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        dogwoodgrade.wire.WireIntroduction, dogwoodgrade.wire.WireIntroduction.Builder, dogwoodgrade.wire.WireIntroductionOrBuilder> introductionsBuilder_;
+
+    /**
+     * <pre>
+     * Members that the receiver may not know; their cells are complete.
+     * </pre>
+     *
+     * <code>repeated .dogwoodgrade.wire.WireIntroduction introductions = 6;</code>
+     */
+    public java.util.List<dogwoodgrade.wire.WireIntroduction> getIntroductionsList() {
+      if (introductionsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(introductions_);
+      } else {
+        return introductionsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Members that the receiver may not know; their cells are complete.
+     * </pre>
+     *
+     * <code>repeated .dogwoodgrade.wire.WireIntroduction introductions = 6;</code>
+     */
+    public int getIntroductionsCount() {
+      if (introductionsBuilder_ == null) {
+        return introductions_.size();
+      } else {
+        return introductionsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Members that the receiver may not know; their cells are complete.
+     * </pre>
+     *
+     * <code>repeated .dogwoodgrade.wire.WireIntroduction introductions = 6;</code>
+     */
+    public dogwoodgrade.wire.WireIntroduction getIntroductions(int index) {
+      if (introductionsBuilder_ == null) {
+        return introductions_.get(index);
+      } else {
+        return introductionsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Members that the receiver may not know; their cells are complete.
+     * </pre>
+     *
+     * <code>repeated .dogwoodgrade.wire.WireIntroduction introductions = 6;</code>
+     */
+    public Builder setIntroductions(
+        int index, dogwoodgrade.wire.WireIntroduction value) {
+      if (introductionsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureIntroductionsIsMutable();
+        introductions_.set(index, value);
+        onChanged();
+      } else {
+        introductionsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Members that the receiver may not know; their cells are complete.
+     * </pre>
+     *
+     * <code>repeated .dogwoodgrade.wire.WireIntroduction introductions = 6;</code>
+     */
+    public Builder setIntroductions(
+        int index, dogwoodgrade.wire.WireIntroduction.Builder builderForValue) {
+      if (introductionsBuilder_ == null) {
+        ensureIntroductionsIsMutable();
+        introductions_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        introductionsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Members that the receiver may not know; their cells are complete.
+     * </pre>
+     *
+     * <code>repeated .dogwoodgrade.wire.WireIntroduction introductions = 6;</code>
+     */
+    public Builder addIntroductions(dogwoodgrade.wire.WireIntroduction value) {
+      if (introductionsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureIntroductionsIsMutable();
+        introductions_.add(value);
+        onChanged();
+      } else {
+        introductionsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Members that the receiver may not know; their cells are complete.
+     * </pre>
+     *
+     * <code>repeated .dogwoodgrade.wire.WireIntroduction introductions = 6;</code>
+     */
+    public Builder addIntroductions(
+        int index, dogwoodgrade.wire.WireIntroduction value) {
+      if (introductionsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureIntroductionsIsMutable();
+        introductions_.add(index, value);
+        onChanged();
+      } else {
+        introductionsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Members that the receiver may not know; their cells are complete.
+     * </pre>
+     *
+     * <code>repeated .dogwoodgrade.wire.WireIntroduction introductions = 6;</code>
+     */
+    public Builder addIntroductions(
+        dogwoodgrade.wire.WireIntroduction.Builder builderForValue) {
+      if (introductionsBuilder_ == null) {
+        ensureIntroductionsIsMutable();
+        introductions_.add(builderForValue.build());
+        onChanged();
+      } else {
+        introductionsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Members that the receiver may not know; their cells are complete.
+     * </pre>
+     *
+     * <code>repeated .dogwoodgrade.wire.WireIntroduction introductions = 6;</code>
+     */
+    public Builder addIntroductions(
+        int index, dogwoodgrade.wire.WireIntroduction.Builder builderForValue) {
+      if (introductionsBuilder_ == null) {
+        ensureIntroductionsIsMutable();
+        introductions_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        introductionsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Members that the receiver may not know; their cells are complete.
+     * </pre>
+     *
+     * <code>repeated .dogwoodgrade.wire.WireIntroduction introductions = 6;</code>
+     */
+    public Builder addAllIntroductions(
+        java.lang.Iterable<? extends dogwoodgrade.wire.WireIntroduction> values) {
+      if (introductionsBuilder_ == null) {
+        ensureIntroductionsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, introductions_);
+        onChanged();
+      } else {
+        introductionsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Members that the receiver may not know; their cells are complete.
+     * </pre>
+     *
+     * <code>repeated .dogwoodgrade.wire.WireIntroduction introductions = 6;</code>
+     */
+    public Builder clearIntroductions() {
+      if (introductionsBuilder_ == null) {
+        introductions_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000020);
+        onChanged();
+      } else {
+        introductionsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Members that the receiver may not know; their cells are complete.
+     * </pre>
+     *
+     * <code>repeated .dogwoodgrade.wire.WireIntroduction introductions = 6;</code>
+     */
+    public Builder removeIntroductions(int index) {
+      if (introductionsBuilder_ == null) {
+        ensureIntroductionsIsMutable();
+        introductions_.remove(index);
+        onChanged();
+      } else {
+        introductionsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Members that the receiver may not know; their cells are complete.
+     * </pre>
+     *
+     * <code>repeated .dogwoodgrade.wire.WireIntroduction introductions = 6;</code>
+     */
+    public dogwoodgrade.wire.WireIntroduction.Builder getIntroductionsBuilder(
+        int index) {
+      return internalGetIntroductionsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Members that the receiver may not know; their cells are complete.
+     * </pre>
+     *
+     * <code>repeated .dogwoodgrade.wire.WireIntroduction introductions = 6;</code>
+     */
+    public dogwoodgrade.wire.WireIntroductionOrBuilder getIntroductionsOrBuilder(
+        int index) {
+      if (introductionsBuilder_ == null) {
+        return introductions_.get(index);  } else {
+        return introductionsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Members that the receiver may not know; their cells are complete.
+     * </pre>
+     *
+     * <code>repeated .dogwoodgrade.wire.WireIntroduction introductions = 6;</code>
+     */
+    public java.util.List<? extends dogwoodgrade.wire.WireIntroductionOrBuilder> 
+         getIntroductionsOrBuilderList() {
+      if (introductionsBuilder_ != null) {
+        return introductionsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(introductions_);
+      }
+    }
+    /**
+     * <pre>
+     * Members that the receiver may not know; their cells are complete.
+     * </pre>
+     *
+     * <code>repeated .dogwoodgrade.wire.WireIntroduction introductions = 6;</code>
+     */
+    public dogwoodgrade.wire.WireIntroduction.Builder addIntroductionsBuilder() {
+      return internalGetIntroductionsFieldBuilder().addBuilder(
+          dogwoodgrade.wire.WireIntroduction.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Members that the receiver may not know; their cells are complete.
+     * </pre>
+     *
+     * <code>repeated .dogwoodgrade.wire.WireIntroduction introductions = 6;</code>
+     */
+    public dogwoodgrade.wire.WireIntroduction.Builder addIntroductionsBuilder(
+        int index) {
+      return internalGetIntroductionsFieldBuilder().addBuilder(
+          index, dogwoodgrade.wire.WireIntroduction.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Members that the receiver may not know; their cells are complete.
+     * </pre>
+     *
+     * <code>repeated .dogwoodgrade.wire.WireIntroduction introductions = 6;</code>
+     */
+    public java.util.List<dogwoodgrade.wire.WireIntroduction.Builder> 
+         getIntroductionsBuilderList() {
+      return internalGetIntroductionsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        dogwoodgrade.wire.WireIntroduction, dogwoodgrade.wire.WireIntroduction.Builder, dogwoodgrade.wire.WireIntroductionOrBuilder> 
+        internalGetIntroductionsFieldBuilder() {
+      if (introductionsBuilder_ == null) {
+        introductionsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            dogwoodgrade.wire.WireIntroduction, dogwoodgrade.wire.WireIntroduction.Builder, dogwoodgrade.wire.WireIntroductionOrBuilder>(
+                introductions_,
+                ((bitField0_ & 0x00000020) != 0),
+                getParentForChildren(),
+                isClean());
+        introductions_ = null;
+      }
+      return introductionsBuilder_;
+    }
+
+    private com.google.protobuf.Internal.IntList keys_ = emptyIntList();
+    private void ensureKeysIsMutable() {
+      if (!keys_.isModifiable()) {
+        keys_ = makeMutableCopy(keys_);
+      }
+      bitField0_ |= 0x00000040;
+    }
+    private void ensureKeysIsMutable(int capacity) {
+      if (!keys_.isModifiable()) {
+        keys_ = makeMutableCopy(keys_, capacity);
+      }
+      bitField0_ |= 0x00000040;
+    }
+    /**
+     * <pre>
+     * Columns with one number for each member.
+     * </pre>
+     *
+     * <code>repeated fixed32 keys = 7;</code>
+     * @return A list containing the keys.
+     */
+    public java.util.List<java.lang.Integer>
+        getKeysList() {
+      keys_.makeImmutable();
+      return keys_;
+    }
+    /**
+     * <pre>
+     * Columns with one number for each member.
+     * </pre>
+     *
+     * <code>repeated fixed32 keys = 7;</code>
+     * @return The count of keys.
+     */
+    public int getKeysCount() {
+      return keys_.size();
+    }
+    /**
+     * <pre>
+     * Columns with one number for each member.
+     * </pre>
+     *
+     * <code>repeated fixed32 keys = 7;</code>
+     * @param index The index of the element to return.
+     * @return The keys at the given index.
+     */
+    public int getKeys(int index) {
+      return keys_.getInt(index);
+    }
+    /**
+     * <pre>
+     * Columns with one number for each member.
+     * </pre>
+     *
+     * <code>repeated fixed32 keys = 7;</code>
+     * @param index The index to set the value at.
+     * @param value The keys to set.
+     * @return This builder for chaining.
+     */
+    public Builder setKeys(
+        int index, int value) {
+
+      ensureKeysIsMutable();
+      keys_.setInt(index, value);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Columns with one number for each member.
+     * </pre>
+     *
+     * <code>repeated fixed32 keys = 7;</code>
+     * @param value The keys to add.
+     * @return This builder for chaining.
+     */
+    public Builder addKeys(int value) {
+
+      ensureKeysIsMutable();
+      keys_.addInt(value);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Columns with one number for each member.
+     * </pre>
+     *
+     * <code>repeated fixed32 keys = 7;</code>
+     * @param values The keys to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllKeys(
+        java.lang.Iterable<? extends java.lang.Integer> values) {
+      ensureKeysIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, keys_);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Columns with one number for each member.
+     * </pre>
+     *
+     * <code>repeated fixed32 keys = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearKeys() {
+      keys_ = emptyIntList();
+      bitField0_ = (bitField0_ & ~0x00000040);
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.Internal.LongList heartbeats_ = emptyLongList();
+    private void ensureHeartbeatsIsMutable() {
+      if (!heartbeats_.isModifiable()) {
+        heartbeats_ = makeMutableCopy(heartbeats_);
+      }
+      bitField0_ |= 0x00000080;
+    }
+    /**
+     * <code>repeated uint64 heartbeats = 8;</code>
+     * @return A list containing the heartbeats.
+     */
+    public java.util.List<java.lang.Long>
+        getHeartbeatsList() {
+      heartbeats_.makeImmutable();
+      return heartbeats_;
+    }
+    /**
+     * <code>repeated uint64 heartbeats = 8;</code>
+     * @return The count of heartbeats.
+     */
+    public int getHeartbeatsCount() {
+      return heartbeats_.size();
+    }
+    /**
+     * <code>repeated uint64 heartbeats = 8;</code>
+     * @param index The index of the element to return.
+     * @return The heartbeats at the given index.
+     */
+    public long getHeartbeats(int index) {
+      return heartbeats_.getLong(index);
+    }
+    /**
+     * <code>repeated uint64 heartbeats = 8;</code>
+     * @param index The index to set the value at.
+     * @param value The heartbeats to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHeartbeats(
+        int index, long value) {
+
+      ensureHeartbeatsIsMutable();
+      heartbeats_.setLong(index, value);
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated uint64 heartbeats = 8;</code>
+     * @param value The heartbeats to add.
+     * @return This builder for chaining.
+     */
+    public Builder addHeartbeats(long value) {
+
+      ensureHeartbeatsIsMutable();
+      heartbeats_.addLong(value);
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated uint64 heartbeats = 8;</code>
+     * @param values The heartbeats to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllHeartbeats(
+        java.lang.Iterable<? extends java.lang.Long> values) {
+      ensureHeartbeatsIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, heartbeats_);
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated uint64 heartbeats = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHeartbeats() {
+      heartbeats_ = emptyLongList();
+      bitField0_ = (bitField0_ & ~0x00000080);
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.Internal.LongList advances_ = emptyLongList();
+    private void ensureAdvancesIsMutable() {
+      if (!advances_.isModifiable()) {
+        advances_ = makeMutableCopy(advances_);
+      }
+      bitField0_ |= 0x00000100;
+    }
+    /**
+     * <pre>
+     * Heartbeat minus the heartbeat that the change is based on.
+     * </pre>
+     *
+     * <code>repeated uint64 advances = 9;</code>
+     * @return A list containing the advances.
+     */
+    public java.util.List<java.lang.Long>
+        getAdvancesList() {
+      advances_.makeImmutable();
+      return advances_;
+    }
+    /**
+     * <pre>
+     * Heartbeat minus the heartbeat that the change is based on.
+     * </pre>
+     *
+     * <code>repeated uint64 advances = 9;</code>
+     * @return The count of advances.
+     */
+    public int getAdvancesCount() {
+      return advances_.size();
+    }
+    /**
+     * <pre>
+     * Heartbeat minus the heartbeat that the change is based on.
+     * </pre>
+     *
+     * <code>repeated uint64 advances = 9;</code>
+     * @param index The index of the element to return.
+     * @return The advances at the given index.
+     */
+    public long getAdvances(int index) {
+      return advances_.getLong(index);
+    }
+    /**
+     * <pre>
+     * Heartbeat minus the heartbeat that the change is based on.
+     * </pre>
+     *
+     * <code>repeated uint64 advances = 9;</code>
+     * @param index The index to set the value at.
+     * @param value The advances to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAdvances(
+        int index, long value) {
+
+      ensureAdvancesIsMutable();
+      advances_.setLong(index, value);
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Heartbeat minus the heartbeat that the change is based on.
+     * </pre>
+     *
+     * <code>repeated uint64 advances = 9;</code>
+     * @param value The advances to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAdvances(long value) {
+
+      ensureAdvancesIsMutable();
+      advances_.addLong(value);
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Heartbeat minus the heartbeat that the change is based on.
+     * </pre>
+     *
+     * <code>repeated uint64 advances = 9;</code>
+     * @param values The advances to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllAdvances(
+        java.lang.Iterable<? extends java.lang.Long> values) {
+      ensureAdvancesIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, advances_);
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Heartbeat minus the heartbeat that the change is based on.
+     * </pre>
+     *
+     * <code>repeated uint64 advances = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAdvances() {
+      advances_ = emptyLongList();
+      bitField0_ = (bitField0_ & ~0x00000100);
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.Internal.LongList offsetDistances_ = emptyLongList();
+    private void ensureOffsetDistancesIsMutable() {
+      if (!offsetDistances_.isModifiable()) {
+        offsetDistances_ = makeMutableCopy(offsetDistances_);
+      }
+      bitField0_ |= 0x00000200;
+    }
+    /**
+     * <pre>
+     * Applied offset of the member minus that of the sender.
+     * </pre>
+     *
+     * <code>repeated sint64 offset_distances = 10;</code>
+     * @return A list containing the offsetDistances.
+     */
+    public java.util.List<java.lang.Long>
+        getOffsetDistancesList() {
+      offsetDistances_.makeImmutable();
+      return offsetDistances_;
+    }
+    /**
+     * <pre>
+     * Applied offset of the member minus that of the sender.
+     * </pre>
+     *
+     * <code>repeated sint64 offset_distances = 10;</code>
+     * @return The count of offsetDistances.
+     */
+    public int getOffsetDistancesCount() {
+      return offsetDistances_.size();
+    }
+    /**
+     * <pre>
+     * Applied offset of the member minus that of the sender.
+     * </pre>
+     *
+     * <code>repeated sint64 offset_distances = 10;</code>
+     * @param index The index of the element to return.
+     * @return The offsetDistances at the given index.
+     */
+    public long getOffsetDistances(int index) {
+      return offsetDistances_.getLong(index);
+    }
+    /**
+     * <pre>
+     * Applied offset of the member minus that of the sender.
+     * </pre>
+     *
+     * <code>repeated sint64 offset_distances = 10;</code>
+     * @param index The index to set the value at.
+     * @param value The offsetDistances to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOffsetDistances(
+        int index, long value) {
+
+      ensureOffsetDistancesIsMutable();
+      offsetDistances_.setLong(index, value);
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Applied offset of the member minus that of the sender.
+     * </pre>
+     *
+     * <code>repeated sint64 offset_distances = 10;</code>
+     * @param value The offsetDistances to add.
+     * @return This builder for chaining.
+     */
+    public Builder addOffsetDistances(long value) {
+
+      ensureOffsetDistancesIsMutable();
+      offsetDistances_.addLong(value);
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Applied offset of the member minus that of the sender.
+     * </pre>
+     *
+     * <code>repeated sint64 offset_distances = 10;</code>
+     * @param values The offsetDistances to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllOffsetDistances(
+        java.lang.Iterable<? extends java.lang.Long> values) {
+      ensureOffsetDistancesIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, offsetDistances_);
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Applied offset of the member minus that of the sender.
+     * </pre>
+     *
+     * <code>repeated sint64 offset_distances = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOffsetDistances() {
+      offsetDistances_ = emptyLongList();
+      bitField0_ = (bitField0_ & ~0x00000200);
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.Internal.IntList contactAges_ = emptyIntList();
+    private void ensureContactAgesIsMutable() {
+      if (!contactAges_.isModifiable()) {
+        contactAges_ = makeMutableCopy(contactAges_);
+      }
+      bitField0_ |= 0x00000400;
+    }
+    /**
+     * <pre>
+     * Contact age in units of 100 ms plus 1, rounded up; 0 means none.
+     * </pre>
+     *
+     * <code>repeated uint32 contact_ages = 11;</code>
+     * @return A list containing the contactAges.
+     */
+    public java.util.List<java.lang.Integer>
+        getContactAgesList() {
+      contactAges_.makeImmutable();
+      return contactAges_;
+    }
+    /**
+     * <pre>
+     * Contact age in units of 100 ms plus 1, rounded up; 0 means none.
+     * </pre>
+     *
+     * <code>repeated uint32 contact_ages = 11;</code>
+     * @return The count of contactAges.
+     */
+    public int getContactAgesCount() {
+      return contactAges_.size();
+    }
+    /**
+     * <pre>
+     * Contact age in units of 100 ms plus 1, rounded up; 0 means none.
+     * </pre>
+     *
+     * <code>repeated uint32 contact_ages = 11;</code>
+     * @param index The index of the element to return.
+     * @return The contactAges at the given index.
+     */
+    public int getContactAges(int index) {
+      return contactAges_.getInt(index);
+    }
+    /**
+     * <pre>
+     * Contact age in units of 100 ms plus 1, rounded up; 0 means none.
+     * </pre>
+     *
+     * <code>repeated uint32 contact_ages = 11;</code>
+     * @param index The index to set the value at.
+     * @param value The contactAges to set.
+     * @return This builder for chaining.
+     */
+    public Builder setContactAges(
+        int index, int value) {
+
+      ensureContactAgesIsMutable();
+      contactAges_.setInt(index, value);
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Contact age in units of 100 ms plus 1, rounded up; 0 means none.
+     * </pre>
+     *
+     * <code>repeated uint32 contact_ages = 11;</code>
+     * @param value The contactAges to add.
+     * @return This builder for chaining.
+     */
+    public Builder addContactAges(int value) {
+
+      ensureContactAgesIsMutable();
+      contactAges_.addInt(value);
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Contact age in units of 100 ms plus 1, rounded up; 0 means none.
+     * </pre>
+     *
+     * <code>repeated uint32 contact_ages = 11;</code>
+     * @param values The contactAges to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllContactAges(
+        java.lang.Iterable<? extends java.lang.Integer> values) {
+      ensureContactAgesIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, contactAges_);
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Contact age in units of 100 ms plus 1, rounded up; 0 means none.
+     * </pre>
+     *
+     * <code>repeated uint32 contact_ages = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearContactAges() {
+      contactAges_ = emptyIntList();
+      bitField0_ = (bitField0_ & ~0x00000400);
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.Internal.IntList cellCounts_ = emptyIntList();
+    private void ensureCellCountsIsMutable() {
+      if (!cellCounts_.isModifiable()) {
+        cellCounts_ = makeMutableCopy(cellCounts_);
+      }
+      bitField0_ |= 0x00000800;
+    }
+    /**
+     * <code>repeated uint32 cell_counts = 12;</code>
+     * @return A list containing the cellCounts.
+     */
+    public java.util.List<java.lang.Integer>
+        getCellCountsList() {
+      cellCounts_.makeImmutable();
+      return cellCounts_;
+    }
+    /**
+     * <code>repeated uint32 cell_counts = 12;</code>
+     * @return The count of cellCounts.
+     */
+    public int getCellCountsCount() {
+      return cellCounts_.size();
+    }
+    /**
+     * <code>repeated uint32 cell_counts = 12;</code>
+     * @param index The index of the element to return.
+     * @return The cellCounts at the given index.
+     */
+    public int getCellCounts(int index) {
+      return cellCounts_.getInt(index);
+    }
+    /**
+     * <code>repeated uint32 cell_counts = 12;</code>
+     * @param index The index to set the value at.
+     * @param value The cellCounts to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCellCounts(
+        int index, int value) {
+
+      ensureCellCountsIsMutable();
+      cellCounts_.setInt(index, value);
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated uint32 cell_counts = 12;</code>
+     * @param value The cellCounts to add.
+     * @return This builder for chaining.
+     */
+    public Builder addCellCounts(int value) {
+
+      ensureCellCountsIsMutable();
+      cellCounts_.addInt(value);
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated uint32 cell_counts = 12;</code>
+     * @param values The cellCounts to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllCellCounts(
+        java.lang.Iterable<? extends java.lang.Integer> values) {
+      ensureCellCountsIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, cellCounts_);
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated uint32 cell_counts = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCellCounts() {
+      cellCounts_ = emptyIntList();
+      bitField0_ = (bitField0_ & ~0x00000800);
+      onChanged();
+      return this;
+    }
 
-    private com.google.protobuf.Internal.IntList digestKeys_ = emptyIntList();
-    private void ensureDigestKeysIsMutable() {
-      if (!digestKeys_.isModifiable()) {
-        digestKeys_ = makeMutableCopy(digestKeys_);
+    private com.google.protobuf.Internal.IntList indexSteps_ = emptyIntList();
+    private void ensureIndexStepsIsMutable() {
+      if (!indexSteps_.isModifiable()) {
+        indexSteps_ = makeMutableCopy(indexSteps_);
       }
-      bitField0_ |= 0x00000001;
-    }
-    private void ensureDigestKeysIsMutable(int capacity) {
-      if (!digestKeys_.isModifiable()) {
-        digestKeys_ = makeMutableCopy(digestKeys_, capacity);
-      }
-      bitField0_ |= 0x00000001;
+      bitField0_ |= 0x00001000;
     }
     /**
      * <pre>
-     * Keys and held heartbeats of the members that the sender knows, pairwise.
+     * Columns with one number for each cell, in the order of the members and then of the index. The index is stored as
+     * the difference to the one before; the first of a member as the difference to -1.
      * </pre>
      *
-     * <code>repeated fixed32 digest_keys = 1;</code>
-     * @return A list containing the digestKeys.
+     * <code>repeated uint32 index_steps = 13;</code>
+     * @return A list containing the indexSteps.
      */
     public java.util.List<java.lang.Integer>
-        getDigestKeysList() {
-      digestKeys_.makeImmutable();
-      return digestKeys_;
+        getIndexStepsList() {
+      indexSteps_.makeImmutable();
+      return indexSteps_;
     }
     /**
      * <pre>
-     * Keys and held heartbeats of the members that the sender knows, pairwise.
+     * Columns with one number for each cell, in the order of the members and then of the index. The index is stored as
+     * the difference to the one before; the first of a member as the difference to -1.
      * </pre>
      *
-     * <code>repeated fixed32 digest_keys = 1;</code>
-     * @return The count of digestKeys.
+     * <code>repeated uint32 index_steps = 13;</code>
+     * @return The count of indexSteps.
      */
-    public int getDigestKeysCount() {
-      return digestKeys_.size();
+    public int getIndexStepsCount() {
+      return indexSteps_.size();
     }
     /**
      * <pre>
-     * Keys and held heartbeats of the members that the sender knows, pairwise.
+     * Columns with one number for each cell, in the order of the members and then of the index. The index is stored as
+     * the difference to the one before; the first of a member as the difference to -1.
      * </pre>
      *
-     * <code>repeated fixed32 digest_keys = 1;</code>
+     * <code>repeated uint32 index_steps = 13;</code>
      * @param index The index of the element to return.
-     * @return The digestKeys at the given index.
+     * @return The indexSteps at the given index.
      */
-    public int getDigestKeys(int index) {
-      return digestKeys_.getInt(index);
+    public int getIndexSteps(int index) {
+      return indexSteps_.getInt(index);
     }
     /**
      * <pre>
-     * Keys and held heartbeats of the members that the sender knows, pairwise.
+     * Columns with one number for each cell, in the order of the members and then of the index. The index is stored as
+     * the difference to the one before; the first of a member as the difference to -1.
      * </pre>
      *
-     * <code>repeated fixed32 digest_keys = 1;</code>
+     * <code>repeated uint32 index_steps = 13;</code>
      * @param index The index to set the value at.
-     * @param value The digestKeys to set.
+     * @param value The indexSteps to set.
      * @return This builder for chaining.
      */
-    public Builder setDigestKeys(
+    public Builder setIndexSteps(
         int index, int value) {
 
-      ensureDigestKeysIsMutable();
-      digestKeys_.setInt(index, value);
-      bitField0_ |= 0x00000001;
+      ensureIndexStepsIsMutable();
+      indexSteps_.setInt(index, value);
+      bitField0_ |= 0x00001000;
       onChanged();
       return this;
     }
     /**
      * <pre>
-     * Keys and held heartbeats of the members that the sender knows, pairwise.
+     * Columns with one number for each cell, in the order of the members and then of the index. The index is stored as
+     * the difference to the one before; the first of a member as the difference to -1.
      * </pre>
      *
-     * <code>repeated fixed32 digest_keys = 1;</code>
-     * @param value The digestKeys to add.
+     * <code>repeated uint32 index_steps = 13;</code>
+     * @param value The indexSteps to add.
      * @return This builder for chaining.
      */
-    public Builder addDigestKeys(int value) {
+    public Builder addIndexSteps(int value) {
 
-      ensureDigestKeysIsMutable();
-      digestKeys_.addInt(value);
-      bitField0_ |= 0x00000001;
+      ensureIndexStepsIsMutable();
+      indexSteps_.addInt(value);
+      bitField0_ |= 0x00001000;
       onChanged();
       return this;
     }
     /**
      * <pre>
-     * Keys and held heartbeats of the members that the sender knows, pairwise.
+     * Columns with one number for each cell, in the order of the members and then of the index. The index is stored as
+     * the difference to the one before; the first of a member as the difference to -1.
      * </pre>
      *
-     * <code>repeated fixed32 digest_keys = 1;</code>
-     * @param values The digestKeys to add.
+     * <code>repeated uint32 index_steps = 13;</code>
+     * @param values The indexSteps to add.
      * @return This builder for chaining.
      */
-    public Builder addAllDigestKeys(
+    public Builder addAllIndexSteps(
         java.lang.Iterable<? extends java.lang.Integer> values) {
-      ensureDigestKeysIsMutable();
+      ensureIndexStepsIsMutable();
       com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, digestKeys_);
-      bitField0_ |= 0x00000001;
+          values, indexSteps_);
+      bitField0_ |= 0x00001000;
       onChanged();
       return this;
     }
     /**
      * <pre>
-     * Keys and held heartbeats of the members that the sender knows, pairwise.
+     * Columns with one number for each cell, in the order of the members and then of the index. The index is stored as
+     * the difference to the one before; the first of a member as the difference to -1.
      * </pre>
      *
-     * <code>repeated fixed32 digest_keys = 1;</code>
+     * <code>repeated uint32 index_steps = 13;</code>
      * @return This builder for chaining.
      */
-    public Builder clearDigestKeys() {
-      digestKeys_ = emptyIntList();
-      bitField0_ = (bitField0_ & ~0x00000001);
+    public Builder clearIndexSteps() {
+      indexSteps_ = emptyIntList();
+      bitField0_ = (bitField0_ & ~0x00001000);
       onChanged();
       return this;
     }
 
-    private com.google.protobuf.Internal.LongList digestHeartbeats_ = emptyLongList();
-    private void ensureDigestHeartbeatsIsMutable() {
-      if (!digestHeartbeats_.isModifiable()) {
-        digestHeartbeats_ = makeMutableCopy(digestHeartbeats_);
+    private com.google.protobuf.Internal.LongList values_ = emptyLongList();
+    private void ensureValuesIsMutable() {
+      if (!values_.isModifiable()) {
+        values_ = makeMutableCopy(values_);
       }
-      bitField0_ |= 0x00000002;
+      bitField0_ |= 0x00002000;
     }
     /**
-     * <code>repeated uint64 digest_heartbeats = 2;</code>
-     * @return A list containing the digestHeartbeats.
+     * <code>repeated uint64 values = 14;</code>
+     * @return A list containing the values.
      */
     public java.util.List<java.lang.Long>
-        getDigestHeartbeatsList() {
-      digestHeartbeats_.makeImmutable();
-      return digestHeartbeats_;
+        getValuesList() {
+      values_.makeImmutable();
+      return values_;
     }
     /**
-     * <code>repeated uint64 digest_heartbeats = 2;</code>
-     * @return The count of digestHeartbeats.
+     * <code>repeated uint64 values = 14;</code>
+     * @return The count of values.
      */
-    public int getDigestHeartbeatsCount() {
-      return digestHeartbeats_.size();
+    public int getValuesCount() {
+      return values_.size();
     }
     /**
-     * <code>repeated uint64 digest_heartbeats = 2;</code>
+     * <code>repeated uint64 values = 14;</code>
      * @param index The index of the element to return.
-     * @return The digestHeartbeats at the given index.
+     * @return The values at the given index.
      */
-    public long getDigestHeartbeats(int index) {
-      return digestHeartbeats_.getLong(index);
+    public long getValues(int index) {
+      return values_.getLong(index);
     }
     /**
-     * <code>repeated uint64 digest_heartbeats = 2;</code>
+     * <code>repeated uint64 values = 14;</code>
      * @param index The index to set the value at.
-     * @param value The digestHeartbeats to set.
+     * @param value The values to set.
      * @return This builder for chaining.
      */
-    public Builder setDigestHeartbeats(
+    public Builder setValues(
         int index, long value) {
 
-      ensureDigestHeartbeatsIsMutable();
-      digestHeartbeats_.setLong(index, value);
-      bitField0_ |= 0x00000002;
+      ensureValuesIsMutable();
+      values_.setLong(index, value);
+      bitField0_ |= 0x00002000;
       onChanged();
       return this;
     }
     /**
-     * <code>repeated uint64 digest_heartbeats = 2;</code>
-     * @param value The digestHeartbeats to add.
+     * <code>repeated uint64 values = 14;</code>
+     * @param value The values to add.
      * @return This builder for chaining.
      */
-    public Builder addDigestHeartbeats(long value) {
+    public Builder addValues(long value) {
 
-      ensureDigestHeartbeatsIsMutable();
-      digestHeartbeats_.addLong(value);
-      bitField0_ |= 0x00000002;
+      ensureValuesIsMutable();
+      values_.addLong(value);
+      bitField0_ |= 0x00002000;
       onChanged();
       return this;
     }
     /**
-     * <code>repeated uint64 digest_heartbeats = 2;</code>
-     * @param values The digestHeartbeats to add.
+     * <code>repeated uint64 values = 14;</code>
+     * @param values The values to add.
      * @return This builder for chaining.
      */
-    public Builder addAllDigestHeartbeats(
+    public Builder addAllValues(
         java.lang.Iterable<? extends java.lang.Long> values) {
-      ensureDigestHeartbeatsIsMutable();
+      ensureValuesIsMutable();
       com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, digestHeartbeats_);
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>repeated uint64 digest_heartbeats = 2;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearDigestHeartbeats() {
-      digestHeartbeats_ = emptyLongList();
-      bitField0_ = (bitField0_ & ~0x00000002);
-      onChanged();
-      return this;
-    }
-
-    private long acknowledged_ ;
-    /**
-     * <pre>
-     * Heartbeat of the receiver that the sender holds.
-     * </pre>
-     *
-     * <code>uint64 acknowledged = 3;</code>
-     * @return The acknowledged.
-     */
-    @java.lang.Override
-    public long getAcknowledged() {
-      return acknowledged_;
-    }
-    /**
-     * <pre>
-     * Heartbeat of the receiver that the sender holds.
-     * </pre>
-     *
-     * <code>uint64 acknowledged = 3;</code>
-     * @param value The acknowledged to set.
-     * @return This builder for chaining.
-     */
-    public Builder setAcknowledged(long value) {
-
-      acknowledged_ = value;
-      bitField0_ |= 0x00000004;
+          values, values_);
+      bitField0_ |= 0x00002000;
       onChanged();
       return this;
     }
     /**
-     * <pre>
-     * Heartbeat of the receiver that the sender holds.
-     * </pre>
-     *
-     * <code>uint64 acknowledged = 3;</code>
+     * <code>repeated uint64 values = 14;</code>
      * @return This builder for chaining.
      */
-    public Builder clearAcknowledged() {
-      bitField0_ = (bitField0_ & ~0x00000004);
-      acknowledged_ = 0L;
+    public Builder clearValues() {
+      values_ = emptyLongList();
+      bitField0_ = (bitField0_ & ~0x00002000);
       onChanged();
       return this;
     }
 
-    private java.util.List<dogwoodgrade.wire.WireMember> members_ =
+    private java.util.List<dogwoodgrade.wire.WireCellName> names_ =
       java.util.Collections.emptyList();
-    private void ensureMembersIsMutable() {
-      if (!((bitField0_ & 0x00000008) != 0)) {
-        members_ = new java.util.ArrayList<dogwoodgrade.wire.WireMember>(members_);
-        bitField0_ |= 0x00000008;
+    private void ensureNamesIsMutable() {
+      if (!((bitField0_ & 0x00004000) != 0)) {
+        names_ = new java.util.ArrayList<dogwoodgrade.wire.WireCellName>(names_);
+        bitField0_ |= 0x00004000;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        dogwoodgrade.wire.WireMember, dogwoodgrade.wire.WireMember.Builder, dogwoodgrade.wire.WireMemberOrBuilder> membersBuilder_;
+        dogwoodgrade.wire.WireCellName, dogwoodgrade.wire.WireCellName.Builder, dogwoodgrade.wire.WireCellNameOrBuilder> namesBuilder_;
 
     /**
-     * <code>repeated .dogwoodgrade.wire.WireMember members = 4;</code>
+     * <pre>
+     * Meaning of the cells that the receiver may not know.
+     * </pre>
+     *
+     * <code>repeated .dogwoodgrade.wire.WireCellName names = 15;</code>
      */
-    public java.util.List<dogwoodgrade.wire.WireMember> getMembersList() {
-      if (membersBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(members_);
+    public java.util.List<dogwoodgrade.wire.WireCellName> getNamesList() {
+      if (namesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(names_);
       } else {
-        return membersBuilder_.getMessageList();
+        return namesBuilder_.getMessageList();
       }
     }
     /**
-     * <code>repeated .dogwoodgrade.wire.WireMember members = 4;</code>
+     * <pre>
+     * Meaning of the cells that the receiver may not know.
+     * </pre>
+     *
+     * <code>repeated .dogwoodgrade.wire.WireCellName names = 15;</code>
      */
-    public int getMembersCount() {
-      if (membersBuilder_ == null) {
-        return members_.size();
+    public int getNamesCount() {
+      if (namesBuilder_ == null) {
+        return names_.size();
       } else {
-        return membersBuilder_.getCount();
+        return namesBuilder_.getCount();
       }
     }
     /**
-     * <code>repeated .dogwoodgrade.wire.WireMember members = 4;</code>
+     * <pre>
+     * Meaning of the cells that the receiver may not know.
+     * </pre>
+     *
+     * <code>repeated .dogwoodgrade.wire.WireCellName names = 15;</code>
      */
-    public dogwoodgrade.wire.WireMember getMembers(int index) {
-      if (membersBuilder_ == null) {
-        return members_.get(index);
+    public dogwoodgrade.wire.WireCellName getNames(int index) {
+      if (namesBuilder_ == null) {
+        return names_.get(index);
       } else {
-        return membersBuilder_.getMessage(index);
+        return namesBuilder_.getMessage(index);
       }
     }
     /**
-     * <code>repeated .dogwoodgrade.wire.WireMember members = 4;</code>
+     * <pre>
+     * Meaning of the cells that the receiver may not know.
+     * </pre>
+     *
+     * <code>repeated .dogwoodgrade.wire.WireCellName names = 15;</code>
      */
-    public Builder setMembers(
-        int index, dogwoodgrade.wire.WireMember value) {
-      if (membersBuilder_ == null) {
+    public Builder setNames(
+        int index, dogwoodgrade.wire.WireCellName value) {
+      if (namesBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureMembersIsMutable();
-        members_.set(index, value);
+        ensureNamesIsMutable();
+        names_.set(index, value);
         onChanged();
       } else {
-        membersBuilder_.setMessage(index, value);
+        namesBuilder_.setMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .dogwoodgrade.wire.WireMember members = 4;</code>
+     * <pre>
+     * Meaning of the cells that the receiver may not know.
+     * </pre>
+     *
+     * <code>repeated .dogwoodgrade.wire.WireCellName names = 15;</code>
      */
-    public Builder setMembers(
-        int index, dogwoodgrade.wire.WireMember.Builder builderForValue) {
-      if (membersBuilder_ == null) {
-        ensureMembersIsMutable();
-        members_.set(index, builderForValue.build());
+    public Builder setNames(
+        int index, dogwoodgrade.wire.WireCellName.Builder builderForValue) {
+      if (namesBuilder_ == null) {
+        ensureNamesIsMutable();
+        names_.set(index, builderForValue.build());
         onChanged();
       } else {
-        membersBuilder_.setMessage(index, builderForValue.build());
+        namesBuilder_.setMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .dogwoodgrade.wire.WireMember members = 4;</code>
+     * <pre>
+     * Meaning of the cells that the receiver may not know.
+     * </pre>
+     *
+     * <code>repeated .dogwoodgrade.wire.WireCellName names = 15;</code>
      */
-    public Builder addMembers(dogwoodgrade.wire.WireMember value) {
-      if (membersBuilder_ == null) {
+    public Builder addNames(dogwoodgrade.wire.WireCellName value) {
+      if (namesBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureMembersIsMutable();
-        members_.add(value);
+        ensureNamesIsMutable();
+        names_.add(value);
         onChanged();
       } else {
-        membersBuilder_.addMessage(value);
+        namesBuilder_.addMessage(value);
       }
       return this;
     }
     /**
-     * <code>repeated .dogwoodgrade.wire.WireMember members = 4;</code>
+     * <pre>
+     * Meaning of the cells that the receiver may not know.
+     * </pre>
+     *
+     * <code>repeated .dogwoodgrade.wire.WireCellName names = 15;</code>
      */
-    public Builder addMembers(
-        int index, dogwoodgrade.wire.WireMember value) {
-      if (membersBuilder_ == null) {
+    public Builder addNames(
+        int index, dogwoodgrade.wire.WireCellName value) {
+      if (namesBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureMembersIsMutable();
-        members_.add(index, value);
+        ensureNamesIsMutable();
+        names_.add(index, value);
         onChanged();
       } else {
-        membersBuilder_.addMessage(index, value);
+        namesBuilder_.addMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .dogwoodgrade.wire.WireMember members = 4;</code>
+     * <pre>
+     * Meaning of the cells that the receiver may not know.
+     * </pre>
+     *
+     * <code>repeated .dogwoodgrade.wire.WireCellName names = 15;</code>
      */
-    public Builder addMembers(
-        dogwoodgrade.wire.WireMember.Builder builderForValue) {
-      if (membersBuilder_ == null) {
-        ensureMembersIsMutable();
-        members_.add(builderForValue.build());
+    public Builder addNames(
+        dogwoodgrade.wire.WireCellName.Builder builderForValue) {
+      if (namesBuilder_ == null) {
+        ensureNamesIsMutable();
+        names_.add(builderForValue.build());
         onChanged();
       } else {
-        membersBuilder_.addMessage(builderForValue.build());
+        namesBuilder_.addMessage(builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .dogwoodgrade.wire.WireMember members = 4;</code>
+     * <pre>
+     * Meaning of the cells that the receiver may not know.
+     * </pre>
+     *
+     * <code>repeated .dogwoodgrade.wire.WireCellName names = 15;</code>
      */
-    public Builder addMembers(
-        int index, dogwoodgrade.wire.WireMember.Builder builderForValue) {
-      if (membersBuilder_ == null) {
-        ensureMembersIsMutable();
-        members_.add(index, builderForValue.build());
+    public Builder addNames(
+        int index, dogwoodgrade.wire.WireCellName.Builder builderForValue) {
+      if (namesBuilder_ == null) {
+        ensureNamesIsMutable();
+        names_.add(index, builderForValue.build());
         onChanged();
       } else {
-        membersBuilder_.addMessage(index, builderForValue.build());
+        namesBuilder_.addMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .dogwoodgrade.wire.WireMember members = 4;</code>
+     * <pre>
+     * Meaning of the cells that the receiver may not know.
+     * </pre>
+     *
+     * <code>repeated .dogwoodgrade.wire.WireCellName names = 15;</code>
      */
-    public Builder addAllMembers(
-        java.lang.Iterable<? extends dogwoodgrade.wire.WireMember> values) {
-      if (membersBuilder_ == null) {
-        ensureMembersIsMutable();
+    public Builder addAllNames(
+        java.lang.Iterable<? extends dogwoodgrade.wire.WireCellName> values) {
+      if (namesBuilder_ == null) {
+        ensureNamesIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, members_);
+            values, names_);
         onChanged();
       } else {
-        membersBuilder_.addAllMessages(values);
+        namesBuilder_.addAllMessages(values);
       }
       return this;
     }
     /**
-     * <code>repeated .dogwoodgrade.wire.WireMember members = 4;</code>
+     * <pre>
+     * Meaning of the cells that the receiver may not know.
+     * </pre>
+     *
+     * <code>repeated .dogwoodgrade.wire.WireCellName names = 15;</code>
      */
-    public Builder clearMembers() {
-      if (membersBuilder_ == null) {
-        members_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000008);
+    public Builder clearNames() {
+      if (namesBuilder_ == null) {
+        names_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00004000);
         onChanged();
       } else {
-        membersBuilder_.clear();
+        namesBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>repeated .dogwoodgrade.wire.WireMember members = 4;</code>
+     * <pre>
+     * Meaning of the cells that the receiver may not know.
+     * </pre>
+     *
+     * <code>repeated .dogwoodgrade.wire.WireCellName names = 15;</code>
      */
-    public Builder removeMembers(int index) {
-      if (membersBuilder_ == null) {
-        ensureMembersIsMutable();
-        members_.remove(index);
+    public Builder removeNames(int index) {
+      if (namesBuilder_ == null) {
+        ensureNamesIsMutable();
+        names_.remove(index);
         onChanged();
       } else {
-        membersBuilder_.remove(index);
+        namesBuilder_.remove(index);
       }
       return this;
     }
     /**
-     * <code>repeated .dogwoodgrade.wire.WireMember members = 4;</code>
+     * <pre>
+     * Meaning of the cells that the receiver may not know.
+     * </pre>
+     *
+     * <code>repeated .dogwoodgrade.wire.WireCellName names = 15;</code>
      */
-    public dogwoodgrade.wire.WireMember.Builder getMembersBuilder(
+    public dogwoodgrade.wire.WireCellName.Builder getNamesBuilder(
         int index) {
-      return internalGetMembersFieldBuilder().getBuilder(index);
+      return internalGetNamesFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>repeated .dogwoodgrade.wire.WireMember members = 4;</code>
+     * <pre>
+     * Meaning of the cells that the receiver may not know.
+     * </pre>
+     *
+     * <code>repeated .dogwoodgrade.wire.WireCellName names = 15;</code>
      */
-    public dogwoodgrade.wire.WireMemberOrBuilder getMembersOrBuilder(
+    public dogwoodgrade.wire.WireCellNameOrBuilder getNamesOrBuilder(
         int index) {
-      if (membersBuilder_ == null) {
-        return members_.get(index);  } else {
-        return membersBuilder_.getMessageOrBuilder(index);
+      if (namesBuilder_ == null) {
+        return names_.get(index);  } else {
+        return namesBuilder_.getMessageOrBuilder(index);
       }
     }
     /**
-     * <code>repeated .dogwoodgrade.wire.WireMember members = 4;</code>
+     * <pre>
+     * Meaning of the cells that the receiver may not know.
+     * </pre>
+     *
+     * <code>repeated .dogwoodgrade.wire.WireCellName names = 15;</code>
      */
-    public java.util.List<? extends dogwoodgrade.wire.WireMemberOrBuilder> 
-         getMembersOrBuilderList() {
-      if (membersBuilder_ != null) {
-        return membersBuilder_.getMessageOrBuilderList();
+    public java.util.List<? extends dogwoodgrade.wire.WireCellNameOrBuilder> 
+         getNamesOrBuilderList() {
+      if (namesBuilder_ != null) {
+        return namesBuilder_.getMessageOrBuilderList();
       } else {
-        return java.util.Collections.unmodifiableList(members_);
-      }
-    }
-    /**
-     * <code>repeated .dogwoodgrade.wire.WireMember members = 4;</code>
-     */
-    public dogwoodgrade.wire.WireMember.Builder addMembersBuilder() {
-      return internalGetMembersFieldBuilder().addBuilder(
-          dogwoodgrade.wire.WireMember.getDefaultInstance());
-    }
-    /**
-     * <code>repeated .dogwoodgrade.wire.WireMember members = 4;</code>
-     */
-    public dogwoodgrade.wire.WireMember.Builder addMembersBuilder(
-        int index) {
-      return internalGetMembersFieldBuilder().addBuilder(
-          index, dogwoodgrade.wire.WireMember.getDefaultInstance());
-    }
-    /**
-     * <code>repeated .dogwoodgrade.wire.WireMember members = 4;</code>
-     */
-    public java.util.List<dogwoodgrade.wire.WireMember.Builder> 
-         getMembersBuilderList() {
-      return internalGetMembersFieldBuilder().getBuilderList();
-    }
-    private com.google.protobuf.RepeatedFieldBuilder<
-        dogwoodgrade.wire.WireMember, dogwoodgrade.wire.WireMember.Builder, dogwoodgrade.wire.WireMemberOrBuilder> 
-        internalGetMembersFieldBuilder() {
-      if (membersBuilder_ == null) {
-        membersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            dogwoodgrade.wire.WireMember, dogwoodgrade.wire.WireMember.Builder, dogwoodgrade.wire.WireMemberOrBuilder>(
-                members_,
-                ((bitField0_ & 0x00000008) != 0),
-                getParentForChildren(),
-                isClean());
-        members_ = null;
+        return java.util.Collections.unmodifiableList(names_);
       }
-      return membersBuilder_;
     }
-
-    private long appliedOffset_ ;
     /**
      * <pre>
-     * Folded state of the sender at the time of this message; the age is in milliseconds plus 1, 0 means none.
+     * Meaning of the cells that the receiver may not know.
      * </pre>
      *
-     * <code>uint64 applied_offset = 5;</code>
-     * @return The appliedOffset.
+     * <code>repeated .dogwoodgrade.wire.WireCellName names = 15;</code>
      */
-    @java.lang.Override
-    public long getAppliedOffset() {
-      return appliedOffset_;
+    public dogwoodgrade.wire.WireCellName.Builder addNamesBuilder() {
+      return internalGetNamesFieldBuilder().addBuilder(
+          dogwoodgrade.wire.WireCellName.getDefaultInstance());
     }
     /**
      * <pre>
-     * Folded state of the sender at the time of this message; the age is in milliseconds plus 1, 0 means none.
+     * Meaning of the cells that the receiver may not know.
      * </pre>
      *
-     * <code>uint64 applied_offset = 5;</code>
-     * @param value The appliedOffset to set.
-     * @return This builder for chaining.
+     * <code>repeated .dogwoodgrade.wire.WireCellName names = 15;</code>
      */
-    public Builder setAppliedOffset(long value) {
-
-      appliedOffset_ = value;
-      bitField0_ |= 0x00000010;
-      onChanged();
-      return this;
+    public dogwoodgrade.wire.WireCellName.Builder addNamesBuilder(
+        int index) {
+      return internalGetNamesFieldBuilder().addBuilder(
+          index, dogwoodgrade.wire.WireCellName.getDefaultInstance());
     }
     /**
      * <pre>
-     * Folded state of the sender at the time of this message; the age is in milliseconds plus 1, 0 means none.
+     * Meaning of the cells that the receiver may not know.
      * </pre>
      *
-     * <code>uint64 applied_offset = 5;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearAppliedOffset() {
-      bitField0_ = (bitField0_ & ~0x00000010);
-      appliedOffset_ = 0L;
-      onChanged();
-      return this;
-    }
-
-    private long contactAge_ ;
-    /**
-     * <code>uint64 contact_age = 6;</code>
-     * @return The contactAge.
-     */
-    @java.lang.Override
-    public long getContactAge() {
-      return contactAge_;
-    }
-    /**
-     * <code>uint64 contact_age = 6;</code>
-     * @param value The contactAge to set.
-     * @return This builder for chaining.
+     * <code>repeated .dogwoodgrade.wire.WireCellName names = 15;</code>
      */
-    public Builder setContactAge(long value) {
-
-      contactAge_ = value;
-      bitField0_ |= 0x00000020;
-      onChanged();
-      return this;
+    public java.util.List<dogwoodgrade.wire.WireCellName.Builder> 
+         getNamesBuilderList() {
+      return internalGetNamesFieldBuilder().getBuilderList();
     }
-    /**
-     * <code>uint64 contact_age = 6;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearContactAge() {
-      bitField0_ = (bitField0_ & ~0x00000020);
-      contactAge_ = 0L;
-      onChanged();
-      return this;
+    private com.google.protobuf.RepeatedFieldBuilder<
+        dogwoodgrade.wire.WireCellName, dogwoodgrade.wire.WireCellName.Builder, dogwoodgrade.wire.WireCellNameOrBuilder> 
+        internalGetNamesFieldBuilder() {
+      if (namesBuilder_ == null) {
+        namesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            dogwoodgrade.wire.WireCellName, dogwoodgrade.wire.WireCellName.Builder, dogwoodgrade.wire.WireCellNameOrBuilder>(
+                names_,
+                ((bitField0_ & 0x00004000) != 0),
+                getParentForChildren(),
+                isClean());
+        names_ = null;
+      }
+      return namesBuilder_;
     }
 
     // @@protoc_insertion_point(builder_scope:dogwoodgrade.wire.WireGossip)
--- a/wire/src/main/java/dogwoodgrade/wire/WireGossipOrBuilder.java
+++ b/wire/src/main/java/dogwoodgrade/wire/WireGossipOrBuilder.java
@@ -67,42 +67,305 @@
   long getAcknowledged();
 
   /**
-   * <code>repeated .dogwoodgrade.wire.WireMember members = 4;</code>
+   * <pre>
+   * Folded state of the sender at the time of this message; the age is in milliseconds plus 1, 0 means none.
+   * </pre>
+   *
+   * <code>uint64 applied_offset = 4;</code>
+   * @return The appliedOffset.
    */
-  java.util.List<dogwoodgrade.wire.WireMember> 
-      getMembersList();
+  long getAppliedOffset();
+
   /**
-   * <code>repeated .dogwoodgrade.wire.WireMember members = 4;</code>
+   * <code>uint64 contact_age = 5;</code>
+   * @return The contactAge.
    */
-  dogwoodgrade.wire.WireMember getMembers(int index);
+  long getContactAge();
+
   /**
-   * <code>repeated .dogwoodgrade.wire.WireMember members = 4;</code>
+   * <pre>
+   * Members that the receiver may not know; their cells are complete.
+   * </pre>
+   *
+   * <code>repeated .dogwoodgrade.wire.WireIntroduction introductions = 6;</code>
    */
-  int getMembersCount();
+  java.util.List<dogwoodgrade.wire.WireIntroduction> 
+      getIntroductionsList();
   /**
-   * <code>repeated .dogwoodgrade.wire.WireMember members = 4;</code>
+   * <pre>
+   * Members that the receiver may not know; their cells are complete.
+   * </pre>
+   *
+   * <code>repeated .dogwoodgrade.wire.WireIntroduction introductions = 6;</code>
    */
-  java.util.List<? extends dogwoodgrade.wire.WireMemberOrBuilder> 
-      getMembersOrBuilderList();
+  dogwoodgrade.wire.WireIntroduction getIntroductions(int index);
   /**
-   * <code>repeated .dogwoodgrade.wire.WireMember members = 4;</code>
+   * <pre>
+   * Members that the receiver may not know; their cells are complete.
+   * </pre>
+   *
+   * <code>repeated .dogwoodgrade.wire.WireIntroduction introductions = 6;</code>
    */
-  dogwoodgrade.wire.WireMemberOrBuilder getMembersOrBuilder(
+  int getIntroductionsCount();
+  /**
+   * <pre>
+   * Members that the receiver may not know; their cells are complete.
+   * </pre>
+   *
+   * <code>repeated .dogwoodgrade.wire.WireIntroduction introductions = 6;</code>
+   */
+  java.util.List<? extends dogwoodgrade.wire.WireIntroductionOrBuilder> 
+      getIntroductionsOrBuilderList();
+  /**
+   * <pre>
+   * Members that the receiver may not know; their cells are complete.
+   * </pre>
+   *
+   * <code>repeated .dogwoodgrade.wire.WireIntroduction introductions = 6;</code>
+   */
+  dogwoodgrade.wire.WireIntroductionOrBuilder getIntroductionsOrBuilder(
       int index);
 
   /**
    * <pre>
-   * Folded state of the sender at the time of this message; the age is in milliseconds plus 1, 0 means none.
+   * Columns with one number for each member.
    * </pre>
    *
-   * <code>uint64 applied_offset = 5;</code>
-   * @return The appliedOffset.
+   * <code>repeated fixed32 keys = 7;</code>
+   * @return A list containing the keys.
    */
-  long getAppliedOffset();
+  java.util.List<java.lang.Integer> getKeysList();
+  /**
+   * <pre>
+   * Columns with one number for each member.
+   * </pre>
+   *
+   * <code>repeated fixed32 keys = 7;</code>
+   * @return The count of keys.
+   */
+  int getKeysCount();
+  /**
+   * <pre>
+   * Columns with one number for each member.
+   * </pre>
+   *
+   * <code>repeated fixed32 keys = 7;</code>
+   * @param index The index of the element to return.
+   * @return The keys at the given index.
+   */
+  int getKeys(int index);
 
   /**
-   * <code>uint64 contact_age = 6;</code>
-   * @return The contactAge.
+   * <code>repeated uint64 heartbeats = 8;</code>
+   * @return A list containing the heartbeats.
    */
-  long getContactAge();
+  java.util.List<java.lang.Long> getHeartbeatsList();
+  /**
+   * <code>repeated uint64 heartbeats = 8;</code>
+   * @return The count of heartbeats.
+   */
+  int getHeartbeatsCount();
+  /**
+   * <code>repeated uint64 heartbeats = 8;</code>
+   * @param index The index of the element to return.
+   * @return The heartbeats at the given index.
+   */
+  long getHeartbeats(int index);
+
+  /**
+   * <pre>
+   * Heartbeat minus the heartbeat that the change is based on.
+   * </pre>
+   *
+   * <code>repeated uint64 advances = 9;</code>
+   * @return A list containing the advances.
+   */
+  java.util.List<java.lang.Long> getAdvancesList();
+  /**
+   * <pre>
+   * Heartbeat minus the heartbeat that the change is based on.
+   * </pre>
+   *
+   * <code>repeated uint64 advances = 9;</code>
+   * @return The count of advances.
+   */
+  int getAdvancesCount();
+  /**
+   * <pre>
+   * Heartbeat minus the heartbeat that the change is based on.
+   * </pre>
+   *
+   * <code>repeated uint64 advances = 9;</code>
+   * @param index The index of the element to return.
+   * @return The advances at the given index.
+   */
+  long getAdvances(int index);
+
+  /**
+   * <pre>
+   * Applied offset of the member minus that of the sender.
+   * </pre>
+   *
+   * <code>repeated sint64 offset_distances = 10;</code>
+   * @return A list containing the offsetDistances.
+   */
+  java.util.List<java.lang.Long> getOffsetDistancesList();
+  /**
+   * <pre>
+   * Applied offset of the member minus that of the sender.
+   * </pre>
+   *
+   * <code>repeated sint64 offset_distances = 10;</code>
+   * @return The count of offsetDistances.
+   */
+  int getOffsetDistancesCount();
+  /**
+   * <pre>
+   * Applied offset of the member minus that of the sender.
+   * </pre>
+   *
+   * <code>repeated sint64 offset_distances = 10;</code>
+   * @param index The index of the element to return.
+   * @return The offsetDistances at the given index.
+   */
+  long getOffsetDistances(int index);
+
+  /**
+   * <pre>
+   * Contact age in units of 100 ms plus 1, rounded up; 0 means none.
+   * </pre>
+   *
+   * <code>repeated uint32 contact_ages = 11;</code>
+   * @return A list containing the contactAges.
+   */
+  java.util.List<java.lang.Integer> getContactAgesList();
+  /**
+   * <pre>
+   * Contact age in units of 100 ms plus 1, rounded up; 0 means none.
+   * </pre>
+   *
+   * <code>repeated uint32 contact_ages = 11;</code>
+   * @return The count of contactAges.
+   */
+  int getContactAgesCount();
+  /**
+   * <pre>
+   * Contact age in units of 100 ms plus 1, rounded up; 0 means none.
+   * </pre>
+   *
+   * <code>repeated uint32 contact_ages = 11;</code>
+   * @param index The index of the element to return.
+   * @return The contactAges at the given index.
+   */
+  int getContactAges(int index);
+
+  /**
+   * <code>repeated uint32 cell_counts = 12;</code>
+   * @return A list containing the cellCounts.
+   */
+  java.util.List<java.lang.Integer> getCellCountsList();
+  /**
+   * <code>repeated uint32 cell_counts = 12;</code>
+   * @return The count of cellCounts.
+   */
+  int getCellCountsCount();
+  /**
+   * <code>repeated uint32 cell_counts = 12;</code>
+   * @param index The index of the element to return.
+   * @return The cellCounts at the given index.
+   */
+  int getCellCounts(int index);
+
+  /**
+   * <pre>
+   * Columns with one number for each cell, in the order of the members and then of the index. The index is stored as
+   * the difference to the one before; the first of a member as the difference to -1.
+   * </pre>
+   *
+   * <code>repeated uint32 index_steps = 13;</code>
+   * @return A list containing the indexSteps.
+   */
+  java.util.List<java.lang.Integer> getIndexStepsList();
+  /**
+   * <pre>
+   * Columns with one number for each cell, in the order of the members and then of the index. The index is stored as
+   * the difference to the one before; the first of a member as the difference to -1.
+   * </pre>
+   *
+   * <code>repeated uint32 index_steps = 13;</code>
+   * @return The count of indexSteps.
+   */
+  int getIndexStepsCount();
+  /**
+   * <pre>
+   * Columns with one number for each cell, in the order of the members and then of the index. The index is stored as
+   * the difference to the one before; the first of a member as the difference to -1.
+   * </pre>
+   *
+   * <code>repeated uint32 index_steps = 13;</code>
+   * @param index The index of the element to return.
+   * @return The indexSteps at the given index.
+   */
+  int getIndexSteps(int index);
+
+  /**
+   * <code>repeated uint64 values = 14;</code>
+   * @return A list containing the values.
+   */
+  java.util.List<java.lang.Long> getValuesList();
+  /**
+   * <code>repeated uint64 values = 14;</code>
+   * @return The count of values.
+   */
+  int getValuesCount();
+  /**
+   * <code>repeated uint64 values = 14;</code>
+   * @param index The index of the element to return.
+   * @return The values at the given index.
+   */
+  long getValues(int index);
+
+  /**
+   * <pre>
+   * Meaning of the cells that the receiver may not know.
+   * </pre>
+   *
+   * <code>repeated .dogwoodgrade.wire.WireCellName names = 15;</code>
+   */
+  java.util.List<dogwoodgrade.wire.WireCellName> 
+      getNamesList();
+  /**
+   * <pre>
+   * Meaning of the cells that the receiver may not know.
+   * </pre>
+   *
+   * <code>repeated .dogwoodgrade.wire.WireCellName names = 15;</code>
+   */
+  dogwoodgrade.wire.WireCellName getNames(int index);
+  /**
+   * <pre>
+   * Meaning of the cells that the receiver may not know.
+   * </pre>
+   *
+   * <code>repeated .dogwoodgrade.wire.WireCellName names = 15;</code>
+   */
+  int getNamesCount();
+  /**
+   * <pre>
+   * Meaning of the cells that the receiver may not know.
+   * </pre>
+   *
+   * <code>repeated .dogwoodgrade.wire.WireCellName names = 15;</code>
+   */
+  java.util.List<? extends dogwoodgrade.wire.WireCellNameOrBuilder> 
+      getNamesOrBuilderList();
+  /**
+   * <pre>
+   * Meaning of the cells that the receiver may not know.
+   * </pre>
+   *
+   * <code>repeated .dogwoodgrade.wire.WireCellName names = 15;</code>
+   */
+  dogwoodgrade.wire.WireCellNameOrBuilder getNamesOrBuilder(
+      int index);
 }
--- a/wire/src/main/java/dogwoodgrade/wire/WireIntroduction.java
+++ b/wire/src/main/java/dogwoodgrade/wire/WireIntroduction.java
@@ -51,11 +51,26 @@
             dogwoodgrade.wire.WireIntroduction.class, dogwoodgrade.wire.WireIntroduction.Builder.class);
   }
 
-  public static final int NAME_FIELD_NUMBER = 1;
+  public static final int POSITION_FIELD_NUMBER = 1;
+  private int position_ = 0;
+  /**
+   * <pre>
+   * Position in the columns of members.
+   * </pre>
+   *
+   * <code>uint32 position = 1;</code>
+   * @return The position.
+   */
+  @java.lang.Override
+  public int getPosition() {
+    return position_;
+  }
+
+  public static final int NAME_FIELD_NUMBER = 2;
   @SuppressWarnings("serial")
   private volatile java.lang.Object name_ = "";
   /**
-   * <code>string name = 1;</code>
+   * <code>string name = 2;</code>
    * @return The name.
    */
   @java.lang.Override
@@ -72,7 +87,7 @@
     }
   }
   /**
-   * <code>string name = 1;</code>
+   * <code>string name = 2;</code>
    * @return The bytes for name.
    */
   @java.lang.Override
@@ -90,10 +105,10 @@
     }
   }
 
-  public static final int INCARNATION_FIELD_NUMBER = 2;
+  public static final int INCARNATION_FIELD_NUMBER = 3;
   private long incarnation_ = 0L;
   /**
-   * <code>uint64 incarnation = 2;</code>
+   * <code>uint64 incarnation = 3;</code>
    * @return The incarnation.
    */
   @java.lang.Override
@@ -101,11 +116,11 @@
     return incarnation_;
   }
 
-  public static final int ZONE_FIELD_NUMBER = 3;
+  public static final int ZONE_FIELD_NUMBER = 4;
   @SuppressWarnings("serial")
   private volatile java.lang.Object zone_ = "";
   /**
-   * <code>string zone = 3;</code>
+   * <code>string zone = 4;</code>
    * @return The zone.
    */
   @java.lang.Override
@@ -122,7 +137,7 @@
     }
   }
   /**
-   * <code>string zone = 3;</code>
+   * <code>string zone = 4;</code>
    * @return The bytes for zone.
    */
   @java.lang.Override
@@ -140,11 +155,11 @@
     }
   }
 
-  public static final int HOST_FIELD_NUMBER = 4;
+  public static final int HOST_FIELD_NUMBER = 5;
   @SuppressWarnings("serial")
   private volatile java.lang.Object host_ = "";
   /**
-   * <code>string host = 4;</code>
+   * <code>string host = 5;</code>
    * @return The host.
    */
   @java.lang.Override
@@ -161,7 +176,7 @@
     }
   }
   /**
-   * <code>string host = 4;</code>
+   * <code>string host = 5;</code>
    * @return The bytes for host.
    */
   @java.lang.Override
@@ -179,10 +194,10 @@
     }
   }
 
-  public static final int PORT_FIELD_NUMBER = 5;
+  public static final int PORT_FIELD_NUMBER = 6;
   private int port_ = 0;
   /**
-   * <code>uint32 port = 5;</code>
+   * <code>uint32 port = 6;</code>
    * @return The port.
    */
   @java.lang.Override
@@ -204,41 +219,48 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
+    if (position_ != 0) {
+      output.writeUInt32(1, position_);
+    }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(name_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 1, name_);
+      com.google.protobuf.GeneratedMessage.writeString(output, 2, name_);
     }
     if (incarnation_ != 0L) {
-      output.writeUInt64(2, incarnation_);
+      output.writeUInt64(3, incarnation_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(zone_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 3, zone_);
+      com.google.protobuf.GeneratedMessage.writeString(output, 4, zone_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(host_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 4, host_);
+      com.google.protobuf.GeneratedMessage.writeString(output, 5, host_);
     }
     if (port_ != 0) {
-      output.writeUInt32(5, port_);
+      output.writeUInt32(6, port_);
     }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
     int size = 0;
+    if (position_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(1, position_);
+    }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(name_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, name_);
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(2, name_);
     }
     if (incarnation_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(2, incarnation_);
+        .computeUInt64Size(3, incarnation_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(zone_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(3, zone_);
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(4, zone_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(host_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(4, host_);
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(5, host_);
     }
     if (port_ != 0) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(5, port_);
+        .computeUInt32Size(6, port_);
     }
     return size;
   }
@@ -264,6 +286,8 @@
     }
     dogwoodgrade.wire.WireIntroduction other = (dogwoodgrade.wire.WireIntroduction) obj;
 
+    if (getPosition()
+        != other.getPosition()) return false;
     if (!getName()
         .equals(other.getName())) return false;
     if (getIncarnation()
@@ -285,6 +309,8 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
+    hash = (37 * hash) + POSITION_FIELD_NUMBER;
+    hash = (53 * hash) + getPosition();
     hash = (37 * hash) + NAME_FIELD_NUMBER;
     hash = (53 * hash) + getName().hashCode();
     hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
@@ -427,6 +453,7 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
+      position_ = 0;
       name_ = "";
       incarnation_ = 0L;
       zone_ = "";
@@ -466,18 +493,21 @@
     private void buildPartial0(dogwoodgrade.wire.WireIntroduction result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.name_ = name_;
+        result.position_ = position_;
       }
       if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.incarnation_ = incarnation_;
+        result.name_ = name_;
       }
       if (((from_bitField0_ & 0x00000004) != 0)) {
-        result.zone_ = zone_;
+        result.incarnation_ = incarnation_;
       }
       if (((from_bitField0_ & 0x00000008) != 0)) {
-        result.host_ = host_;
+        result.zone_ = zone_;
       }
       if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.host_ = host_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
         result.port_ = port_;
       }
     }
@@ -494,9 +524,12 @@
 
     public Builder mergeFrom(dogwoodgrade.wire.WireIntroduction other) {
       if (other == dogwoodgrade.wire.WireIntroduction.getDefaultInstance()) return this;
+      if (other.getPosition() != 0) {
+        setPosition(other.getPosition());
+      }
       if (!other.getName().isEmpty()) {
         name_ = other.name_;
-        bitField0_ |= 0x00000001;
+        bitField0_ |= 0x00000002;
         onChanged();
       }
       if (other.getIncarnation() != 0L) {
@@ -504,12 +537,12 @@
       }
       if (!other.getZone().isEmpty()) {
         zone_ = other.zone_;
-        bitField0_ |= 0x00000004;
+        bitField0_ |= 0x00000008;
         onChanged();
       }
       if (!other.getHost().isEmpty()) {
         host_ = other.host_;
-        bitField0_ |= 0x00000008;
+        bitField0_ |= 0x00000010;
         onChanged();
       }
       if (other.getPort() != 0) {
@@ -539,31 +572,36 @@
             case 0:
               done = true;
               break;
-            case 10: {
-              name_ = input.readStringRequireUtf8();
+            case 8: {
+              position_ = input.readUInt32();
               bitField0_ |= 0x00000001;
               break;
-            } // case 10
-            case 16: {
-              incarnation_ = input.readUInt64();
+            } // case 8
+            case 18: {
+              name_ = input.readStringRequireUtf8();
               bitField0_ |= 0x00000002;
               break;
-            } // case 16
-            case 26: {
-              zone_ = input.readStringRequireUtf8();
+            } // case 18
+            case 24: {
+              incarnation_ = input.readUInt64();
               bitField0_ |= 0x00000004;
               break;
-            } // case 26
+            } // case 24
             case 34: {
-              host_ = input.readStringRequireUtf8();
+              zone_ = input.readStringRequireUtf8();
               bitField0_ |= 0x00000008;
               break;
             } // case 34
-            case 40: {
-              port_ = input.readUInt32();
+            case 42: {
+              host_ = input.readStringRequireUtf8();
               bitField0_ |= 0x00000010;
               break;
-            } // case 40
+            } // case 42
+            case 48: {
+              port_ = input.readUInt32();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -581,9 +619,53 @@
     }
     private int bitField0_;
 
+    private int position_ ;
+    /**
+     * <pre>
+     * Position in the columns of members.
+     * </pre>
+     *
+     * <code>uint32 position = 1;</code>
+     * @return The position.
+     */
+    @java.lang.Override
+    public int getPosition() {
+      return position_;
+    }
+    /**
+     * <pre>
+     * Position in the columns of members.
+     * </pre>
+     *
+     * <code>uint32 position = 1;</code>
+     * @param value The position to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPosition(int value) {
+
+      position_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Position in the columns of members.
+     * </pre>
+     *
+     * <code>uint32 position = 1;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPosition() {
+      bitField0_ = (bitField0_ & ~0x00000001);
+      position_ = 0;
+      onChanged();
+      return this;
+    }
+
     private java.lang.Object name_ = "";
     /**
-     * <code>string name = 1;</code>
+     * <code>string name = 2;</code>
      * @return The name.
      */
     public java.lang.String getName() {
@@ -599,7 +681,7 @@
       }
     }
     /**
-     * <code>string name = 1;</code>
+     * <code>string name = 2;</code>
      * @return The bytes for name.
      */
     public com.google.protobuf.ByteString
@@ -616,7 +698,7 @@
       }
     }
     /**
-     * <code>string name = 1;</code>
+     * <code>string name = 2;</code>
      * @param value The name to set.
      * @return This builder for chaining.
      */
@@ -624,22 +706,22 @@
         java.lang.String value) {
       java.util.Objects.requireNonNull(value);
       name_ = value;
-      bitField0_ |= 0x00000001;
+      bitField0_ |= 0x00000002;
       onChanged();
       return this;
     }
     /**
-     * <code>string name = 1;</code>
+     * <code>string name = 2;</code>
      * @return This builder for chaining.
      */
     public Builder clearName() {
       name_ = getDefaultInstance().getName();
-      bitField0_ = (bitField0_ & ~0x00000001);
+      bitField0_ = (bitField0_ & ~0x00000002);
       onChanged();
       return this;
     }
     /**
-     * <code>string name = 1;</code>
+     * <code>string name = 2;</code>
      * @param value The bytes for name to set.
      * @return This builder for chaining.
      */
@@ -648,14 +730,14 @@
       java.util.Objects.requireNonNull(value);
       checkByteStringIsUtf8(value);
       name_ = value;
-      bitField0_ |= 0x00000001;
+      bitField0_ |= 0x00000002;
       onChanged();
       return this;
     }
 
     private long incarnation_ ;
     /**
-     * <code>uint64 incarnation = 2;</code>
+     * <code>uint64 incarnation = 3;</code>
      * @return The incarnation.
      */
     @java.lang.Override
@@ -663,23 +745,23 @@
       return incarnation_;
     }
     /**
-     * <code>uint64 incarnation = 2;</code>
+     * <code>uint64 incarnation = 3;</code>
      * @param value The incarnation to set.
      * @return This builder for chaining.
      */
     public Builder setIncarnation(long value) {
 
       incarnation_ = value;
-      bitField0_ |= 0x00000002;
+      bitField0_ |= 0x00000004;
       onChanged();
       return this;
     }
     /**
-     * <code>uint64 incarnation = 2;</code>
+     * <code>uint64 incarnation = 3;</code>
      * @return This builder for chaining.
      */
     public Builder clearIncarnation() {
-      bitField0_ = (bitField0_ & ~0x00000002);
+      bitField0_ = (bitField0_ & ~0x00000004);
       incarnation_ = 0L;
       onChanged();
       return this;
@@ -687,7 +769,7 @@
 
     private java.lang.Object zone_ = "";
     /**
-     * <code>string zone = 3;</code>
+     * <code>string zone = 4;</code>
      * @return The zone.
      */
     public java.lang.String getZone() {
@@ -703,7 +785,7 @@
       }
     }
     /**
-     * <code>string zone = 3;</code>
+     * <code>string zone = 4;</code>
      * @return The bytes for zone.
      */
     public com.google.protobuf.ByteString
@@ -720,7 +802,7 @@
       }
     }
     /**
-     * <code>string zone = 3;</code>
+     * <code>string zone = 4;</code>
      * @param value The zone to set.
      * @return This builder for chaining.
      */
@@ -728,22 +810,22 @@
         java.lang.String value) {
       java.util.Objects.requireNonNull(value);
       zone_ = value;
-      bitField0_ |= 0x00000004;
+      bitField0_ |= 0x00000008;
       onChanged();
       return this;
     }
     /**
-     * <code>string zone = 3;</code>
+     * <code>string zone = 4;</code>
      * @return This builder for chaining.
      */
     public Builder clearZone() {
       zone_ = getDefaultInstance().getZone();
-      bitField0_ = (bitField0_ & ~0x00000004);
+      bitField0_ = (bitField0_ & ~0x00000008);
       onChanged();
       return this;
     }
     /**
-     * <code>string zone = 3;</code>
+     * <code>string zone = 4;</code>
      * @param value The bytes for zone to set.
      * @return This builder for chaining.
      */
@@ -752,14 +834,14 @@
       java.util.Objects.requireNonNull(value);
       checkByteStringIsUtf8(value);
       zone_ = value;
-      bitField0_ |= 0x00000004;
+      bitField0_ |= 0x00000008;
       onChanged();
       return this;
     }
 
     private java.lang.Object host_ = "";
     /**
-     * <code>string host = 4;</code>
+     * <code>string host = 5;</code>
      * @return The host.
      */
     public java.lang.String getHost() {
@@ -775,7 +857,7 @@
       }
     }
     /**
-     * <code>string host = 4;</code>
+     * <code>string host = 5;</code>
      * @return The bytes for host.
      */
     public com.google.protobuf.ByteString
@@ -792,7 +874,7 @@
       }
     }
     /**
-     * <code>string host = 4;</code>
+     * <code>string host = 5;</code>
      * @param value The host to set.
      * @return This builder for chaining.
      */
@@ -800,22 +882,22 @@
         java.lang.String value) {
       java.util.Objects.requireNonNull(value);
       host_ = value;
-      bitField0_ |= 0x00000008;
+      bitField0_ |= 0x00000010;
       onChanged();
       return this;
     }
     /**
-     * <code>string host = 4;</code>
+     * <code>string host = 5;</code>
      * @return This builder for chaining.
      */
     public Builder clearHost() {
       host_ = getDefaultInstance().getHost();
-      bitField0_ = (bitField0_ & ~0x00000008);
+      bitField0_ = (bitField0_ & ~0x00000010);
       onChanged();
       return this;
     }
     /**
-     * <code>string host = 4;</code>
+     * <code>string host = 5;</code>
      * @param value The bytes for host to set.
      * @return This builder for chaining.
      */
@@ -824,14 +906,14 @@
       java.util.Objects.requireNonNull(value);
       checkByteStringIsUtf8(value);
       host_ = value;
-      bitField0_ |= 0x00000008;
+      bitField0_ |= 0x00000010;
       onChanged();
       return this;
     }
 
     private int port_ ;
     /**
-     * <code>uint32 port = 5;</code>
+     * <code>uint32 port = 6;</code>
      * @return The port.
      */
     @java.lang.Override
@@ -839,23 +921,23 @@
       return port_;
     }
     /**
-     * <code>uint32 port = 5;</code>
+     * <code>uint32 port = 6;</code>
      * @param value The port to set.
      * @return This builder for chaining.
      */
     public Builder setPort(int value) {
 
       port_ = value;
-      bitField0_ |= 0x00000010;
+      bitField0_ |= 0x00000020;
       onChanged();
       return this;
     }
     /**
-     * <code>uint32 port = 5;</code>
+     * <code>uint32 port = 6;</code>
      * @return This builder for chaining.
      */
     public Builder clearPort() {
-      bitField0_ = (bitField0_ & ~0x00000010);
+      bitField0_ = (bitField0_ & ~0x00000020);
       port_ = 0;
       onChanged();
       return this;
--- a/wire/src/main/java/dogwoodgrade/wire/WireIntroductionOrBuilder.java
+++ b/wire/src/main/java/dogwoodgrade/wire/WireIntroductionOrBuilder.java
@@ -11,49 +11,59 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
-   * <code>string name = 1;</code>
+   * <pre>
+   * Position in the columns of members.
+   * </pre>
+   *
+   * <code>uint32 position = 1;</code>
+   * @return The position.
+   */
+  int getPosition();
+
+  /**
+   * <code>string name = 2;</code>
    * @return The name.
    */
   java.lang.String getName();
   /**
-   * <code>string name = 1;</code>
+   * <code>string name = 2;</code>
    * @return The bytes for name.
    */
   com.google.protobuf.ByteString
       getNameBytes();
 
   /**
-   * <code>uint64 incarnation = 2;</code>
+   * <code>uint64 incarnation = 3;</code>
    * @return The incarnation.
    */
   long getIncarnation();
 
   /**
-   * <code>string zone = 3;</code>
+   * <code>string zone = 4;</code>
    * @return The zone.
    */
   java.lang.String getZone();
   /**
-   * <code>string zone = 3;</code>
+   * <code>string zone = 4;</code>
    * @return The bytes for zone.
    */
   com.google.protobuf.ByteString
       getZoneBytes();
 
   /**
-   * <code>string host = 4;</code>
+   * <code>string host = 5;</code>
    * @return The host.
    */
   java.lang.String getHost();
   /**
-   * <code>string host = 4;</code>
+   * <code>string host = 5;</code>
    * @return The bytes for host.
    */
   com.google.protobuf.ByteString
       getHostBytes();
 
   /**
-   * <code>uint32 port = 5;</code>
+   * <code>uint32 port = 6;</code>
    * @return The port.
    */
   int getPort();
