--- /dev/null
+++ b/membership/src/main/kotlin/dogwoodgrade/membership/OwnReport.kt
@@ -0,0 +1,76 @@
+package dogwoodgrade.membership
+
+import dogwoodgrade.model.InstanceName
+
+/**
+ * What an entry publishes about itself: its contact with the log, the slot time used through it since it started (in
+ * milliseconds, a sum that never falls), and its requests in flight per instance (instances at 0 may be left out).
+ * Instances in [watched], usually those that drain, are published at every change; other changes may wait.
+ */
+public data class OwnReport(
+    public val contact: LogContact,
+    public val usage: Map<CellName.Usage, Long>,
+    public val load: Map<InstanceName, Int>,
+    public val watched: Set<InstanceName> = emptySet(),
+)
+
+/**
+ * Returns the cells to publish with [heartbeat]. Changes of watched instances are published at once, because a drain
+ * waits until nobody shows requests there. Of all other changes the [budget] largest are published, and the rest waits
+ * for a later tick. When the names have reached [stateBytes], a cell of an idle endpoint is given to the new name.
+ */
+internal fun publishCells(
+    held: List<Cell>,
+    report: OwnReport,
+    heartbeat: Long,
+    budget: Int,
+    stateBytes: Int,
+): List<Cell> {
+    val values = HashMap<CellName, Long>()
+    report.usage.forEach { (name, milliseconds) -> values[name] = milliseconds / USAGE_UNIT_MILLISECONDS }
+    report.load.forEach { (instance, requests) -> values[CellName.Load(instance)] = requests.toLong() }
+    val indexes = HashMap<CellName, Int>()
+    held.forEachIndexed { index, cell ->
+        indexes[cell.name] = index
+        if (cell.name is CellName.Load) values.putIfAbsent(cell.name, 0)
+    }
+    val moved =
+        values
+            .map { (name, value) -> Movement(name, indexes[name]?.let { held[it].value } ?: 0, value) }
+            .filter { it.before != it.after }
+    val (watched, others) = moved.partition { it.name is CellName.Load && it.name.instance in report.watched }
+    val cells = ArrayList(held)
+    var bytes = held.sumOf { it.name.estimatedBytes() }
+    for (movement in watched + others.sortedWith(largestFirst).take(budget)) {
+        val known = indexes[movement.name]
+        val size = movement.name.estimatedBytes()
+        if (known != null) {
+            cells[known] = cells[known].copy(value = movement.after, changedAt = heartbeat)
+        } else {
+            val cell = Cell(movement.name, movement.after, heartbeat, heartbeat)
+            val idle = if (bytes + size <= stateBytes) -1 else cells.indexOfFirst { it.isReusable(heartbeat) }
+            if (idle >= 0) {
+                cells[idle] = cell
+            } else if (bytes + size <= stateBytes || movement in watched) {
+                bytes += size
+                cells += cell
+            }
+        }
+    }
+    return cells
+}
+
+private fun Cell.isReusable(heartbeat: Long): Boolean = name is CellName.Load && value == 0L && changedAt < heartbeat
+
+private data class Movement(val name: CellName, val before: Long, val after: Long) {
+    /** A request that occupies a slot counts as much as the usage of one slot for one second. */
+    val size: Long get() = if (name is CellName.Load) abs(after - before) * LOAD_WEIGHT else abs(after - before)
+}
+
+private fun abs(value: Long): Long = if (value < 0) -value else value
+
+/** Ties are broken by name, so that two runs with the same input publish the same. */
+private val largestFirst: Comparator<Movement> =
+    compareByDescending(Movement::size).thenBy { it.name.toString() }
+
+private const val LOAD_WEIGHT = 1_000 / USAGE_UNIT_MILLISECONDS
