--- /dev/null
+++ b/routing/src/main/kotlin/dogwoodgrade/routing/RetryBackoff.kt
@@ -0,0 +1,31 @@
+package dogwoodgrade.routing
+
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Largest backoff before the first retry. */
+internal val FIRST_BACKOFF = 25.milliseconds
+
+/** Largest backoff before any retry. */
+internal val LONGEST_BACKOFF = 1.seconds
+
+/**
+ * Returns the time to wait before the next attempt after [attempts] attempts: uniform between zero and a bound that
+ * starts at 25 ms and doubles up to 1 s (full jitter), so that callers that failed together do not return together.
+ */
+public fun retryBackoff(attempts: Int, random: Random): Duration {
+    require(attempts > 0) { "backoff after $attempts attempts" }
+    return doubled(FIRST_BACKOFF, attempts, LONGEST_BACKOFF) * random.nextDouble()
+}
+
+/** Returns [first] doubled ([times] - 1) times, at most [longest]. */
+internal fun doubled(first: Duration, times: Int, longest: Duration): Duration {
+    var duration = first
+    repeat(times - 1) {
+        if (duration >= longest) return longest
+        duration *= 2
+    }
+    return minOf(duration, longest)
+}
