--- /dev/null
+++ b/shares/src/main/kotlin/dogwoodgrade/shares/QueueTable.kt
@@ -0,0 +1,198 @@
+package dogwoodgrade.shares
+
+import dogwoodgrade.model.EntryIdentity
+import dogwoodgrade.model.PoolName
+import dogwoodgrade.model.RequestIdentifier
+import dogwoodgrade.model.ResultCode
+import dogwoodgrade.model.TeamName
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/** Requests of one team at this entry, over all pools. */
+public data class TeamDemand(
+    public val waiting: Int,
+    public val running: Int,
+)
+
+/** Time after which an instance that stops is expected to have a successor behind the platform's balancer. */
+private val StoppingRetryAfter = 1.seconds
+
+/**
+ * All queues of an entry, with the usage that orders them.
+ *
+ * One lock guards the table. Its number in the lock order is 3; no function that the caller passes is called with the
+ * lock held, so such a function may acquire any lock.
+ *
+ * A request is in the table from [offer] until [cancel], [expire], [drain] or [takeNext] has returned it, or until
+ * [end] is called for a request that was taken. Each request is returned once by exactly one of them.
+ *
+ * Nothing wakes an entry when a slot that it left to a peer stays free: call [takeNext] for every pool with free slots
+ * at least every 100 ms.
+ */
+public class QueueTable(
+    private val settings: QueueSettings = QueueSettings(),
+    private val policy: SelectionPolicy = LeastUsagePerShare,
+) {
+    private val lock = ReentrantLock()
+    private val meter = UsageMeter()
+    private val queues = LinkedHashMap<PoolName, FairQueue>()
+    private val poolOf = HashMap<RequestIdentifier, PoolName>()
+    private var shares: Map<QueueOwner, Double> = emptyMap()
+    private var closed = false
+
+    /** Sets the weights of all owners, for all pools; an owner without one has weight 1. */
+    public fun configure(shares: Map<QueueOwner, Double>) {
+        require(shares.values.all { it > 0 && it.isFinite() }) { "a share is not a positive number: $shares" }
+        lock.withLock {
+            this.shares = shares.toMap()
+            queues.values.forEach { it.configure(this.shares) }
+        }
+    }
+
+    /**
+     * Queues [request], or refuses it: `QueueFull` with a retry time, `DeadlineTooShort` if it could not finish in time
+     * even if it started now, `Stopping` after [close], `MalformedRequest` if its identifier is already in the table.
+     */
+    public fun offer(request: WaitingRequest, now: Instant): OfferResult =
+        lock.withLock {
+            when {
+                closed -> refused(request.identifier, ResultCode.Stopping)
+                request.identifier in poolOf -> refused(request.identifier, ResultCode.MalformedRequest)
+                else ->
+                    queue(request.pool).offer(request, now).also {
+                        if (it == OfferResult.Queued) poolOf[request.identifier] = request.pool
+                    }
+            }
+        }
+
+    /** Removes a waiting request, in constant time; returns `null` if it does not wait. */
+    public fun cancel(identifier: RequestIdentifier, now: Instant): WaitingRequest? =
+        lock.withLock {
+            poolOf[identifier]?.let { queues.getValue(it).cancel(identifier, now) }?.also { poolOf.remove(identifier) }
+        }
+
+    /** Removes and refuses every waiting request that cannot finish by its deadline. */
+    public fun expire(now: Instant): List<Refusal> = lock.withLock { release(queues.values.flatMap { it.expire(now) }) }
+
+    /**
+     * Takes the next request of [pool] to start, given the [free] slots. Its slot time counts from now on.
+     *
+     * [permit] says whether a permit of a team can be had. It must not reserve one, because it is called for teams
+     * that are then not chosen; it is called without the lock held and at most once per team. A team without a permit
+     * keeps its place. The caller reserves the permit of the returned request, and calls [putBack] if it is gone.
+     */
+    public fun takeNext(pool: PoolName, now: Instant, free: FreeSlots, permit: (TeamName) -> Boolean): TakeResult {
+        val permits = HashMap<QueueOwner, Boolean>()
+        val refusals = ArrayList<Refusal>()
+        while (true) {
+            val asked = lock.withLock { takeOrAsk(pool, now, free, permits, refusals) }
+            val team = asked.team ?: return TakeResult(asked.started, refusals)
+            permits[team] = permit(team.name)
+        }
+    }
+
+    /** Puts a taken request that did not run back at the head of its queue, for example after a busy endpoint. */
+    public fun putBack(identifier: RequestIdentifier, now: Instant): OfferResult =
+        lock.withLock {
+            val queue = poolOf[identifier]?.let { queues.getValue(it) }
+            if (queue != null && queue.putBack(identifier, now)) {
+                OfferResult.Queued
+            } else {
+                refused(identifier, ResultCode.MalformedRequest)
+            }
+        }
+
+    /** Ends a taken request; returns whether [identifier] was one. */
+    public fun end(identifier: RequestIdentifier, end: RunEnd, now: Instant): Boolean =
+        lock.withLock {
+            val ended = poolOf[identifier]?.let { queues.getValue(it).end(identifier, end, now) } != null
+            if (ended) poolOf.remove(identifier)
+            ended
+        }
+
+    /** Refuses new requests from now on; those in the table go on. */
+    public fun close(): Unit = lock.withLock { closed = true }
+
+    /** Closes the table, and removes and refuses all waiting requests. */
+    public fun drain(now: Instant): List<Refusal> =
+        lock.withLock {
+            closed = true
+            release(queues.values.flatMap { it.drain(now) })
+        }
+
+    /** Returns a snapshot of the entry's own use for gossip, and drops accounts that have been idle for long. */
+    public fun snapshot(now: Instant): UsageSnapshot =
+        lock.withLock {
+            queues.values.forEach { queue ->
+                queue.rebalance(now)
+                queue.prune(now)
+            }
+            meter.snapshot(now) { pool, owner -> queues[pool]?.waitingForSlot(owner) ?: 0 }
+        }
+
+    /** Uses the [snapshot] of [peer], taken at [takenAt] by this entry's clock; returns `false` for an old one. */
+    public fun report(peer: EntryIdentity, snapshot: UsageSnapshot, takenAt: Instant, now: Instant): Boolean =
+        lock.withLock {
+            meter.report(peer, snapshot, takenAt, now).also { used ->
+                if (used) snapshot.rows.map { it.pool }.toSet().forEach { queue(it).noteReports(now) }
+            }
+        }
+
+    /** Drops what [peer] has reported; to be called when the member is gone. */
+    public fun forget(peer: EntryIdentity, now: Instant): Unit = lock.withLock { meter.forget(peer, now) }
+
+    /** Returns the fleet-wide recent usage of [pool] by [owner], in slot-seconds. */
+    public fun usage(pool: PoolName, owner: QueueOwner, now: Instant): Double =
+        lock.withLock { meter.usage(pool, owner, now) }
+
+    /** Returns the demand of each team, for the planning of permits. */
+    public fun demand(): Map<TeamName, TeamDemand> =
+        lock.withLock {
+            val waiting = queues.values.flatMap { it.counts() }.groupingBy { it.owner }
+                .fold(0) { sum, count -> sum + count.waiting }
+            val running = queues.values.flatMap { it.runningOwners() }.groupingBy { it }.eachCount()
+            (waiting.keys + running.keys).filterIsInstance<QueueOwner.Team>().associate {
+                it.name to TeamDemand(waiting[it] ?: 0, running[it] ?: 0)
+            }
+        }
+
+    /** Returns the length of every queue, for metrics. */
+    public fun counts(): List<QueueCount> = lock.withLock { queues.values.flatMap { it.counts() } }
+
+    /** Either the result, or a [team] whose permit has to be asked for first. */
+    private class Asked(val started: WaitingRequest?, val team: QueueOwner.Team?)
+
+    private fun takeOrAsk(
+        pool: PoolName,
+        now: Instant,
+        free: FreeSlots,
+        permits: Map<QueueOwner, Boolean>,
+        refusals: MutableList<Refusal>,
+    ): Asked {
+        val queue = queues[pool] ?: return Asked(null, null)
+        val denied = permits.filterValues { !it }.keys
+        denied.forEach(queue::notePermitDenied)
+        while (true) {
+            val choice = queue.choose(now, free, denied) ?: return Asked(null, null)
+            val owner = choice.owner
+            if (owner is QueueOwner.Team && owner !in permits) return Asked(null, owner)
+            val tooLate = ArrayList<Refusal>()
+            val request = queue.take(choice, now, tooLate)
+            refusals += release(tooLate)
+            if (request != null) return Asked(request, null)
+        }
+    }
+
+    private fun queue(pool: PoolName): FairQueue =
+        queues.getOrPut(pool) { FairQueue(pool, settings, meter, policy).also { it.configure(shares) } }
+
+    private fun release(refusals: List<Refusal>): List<Refusal> =
+        refusals.onEach { poolOf.remove(it.identifier) }
+
+    private fun refused(identifier: RequestIdentifier, code: ResultCode): OfferResult {
+        val retryAfter = if (code == ResultCode.Stopping) StoppingRetryAfter else null
+        return OfferResult.Refused(Refusal(identifier, code, retryAfter))
+    }
+}
--- /dev/null
+++ b/shares/src/main/kotlin/dogwoodgrade/shares/UsageMeter.kt
@@ -0,0 +1,186 @@
+package dogwoodgrade.shares
+
+import dogwoodgrade.model.EntryIdentity
+import dogwoodgrade.model.PoolName
+import kotlin.math.exp
+import kotlin.math.max
+import kotlin.math.min
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
+import kotlin.time.Instant
+
+/*
+ * Usage is the integral of the slots in use, weighted with exp(-age / 5 s). It grows while a task runs, so a long task
+ * counts before it ends. A peer's report also carries the slots in use, which are assumed to stay in use until the
+ * next report; otherwise each report would look smaller the older it is.
+ */
+
+/** Time constant of the decay of usage. */
+public val UsageTimeConstant: Duration = 5.seconds
+
+/** Age at which the slots of a report are no longer assumed to be in use; the time at which a member is suspected. */
+private val AccrualLimit: Duration = 3.seconds
+
+/** Rows below this usage, in slot-seconds, are left out of snapshots. */
+private const val NEGLIGIBLE_USAGE = 0.01
+
+private val AveragingTime: Duration = 1.seconds
+
+private fun seconds(duration: Duration): Double = duration.toDouble(DurationUnit.SECONDS)
+
+/** Returns [usage] after [elapsed] with [running] slots in use for the first [accrual] of it. */
+private fun advance(
+    usage: Double,
+    running: Double,
+    elapsed: Duration,
+    accrual: Duration = elapsed,
+    constant: Duration = UsageTimeConstant,
+): Double {
+    val constant = seconds(constant)
+    val whole = max(0.0, elapsed.toDouble(DurationUnit.SECONDS))
+    val busy = min(whole, max(0.0, accrual.toDouble(DurationUnit.SECONDS)))
+    val afterBusy = usage * exp(-busy / constant) + running * constant * (1 - exp(-busy / constant))
+    return afterBusy * exp(-(whole - busy) / constant)
+}
+
+/** Own and reported use of one pool by one owner. */
+internal class UsageAccount {
+    private var ownUsage = 0.0
+    private var recentUsage = 0.0
+    private var ownAt: Instant? = null
+    var ownRunning = 0
+        private set
+    var ownReserve = 0
+        private set
+    var peers = PeerTotals()
+
+    fun ownUsage(now: Instant): Double = ownAt?.let { advance(ownUsage, ownRunning.toDouble(), now - it) } ?: 0.0
+
+    /** Slots in use at this entry, averaged over about a second. */
+    fun ownSlots(now: Instant): Double =
+        ownAt?.let { advance(recentUsage, ownRunning.toDouble(), now - it, constant = AveragingTime) / seconds(AveragingTime) } ?: 0.0
+
+    fun change(now: Instant, slots: Int, reserve: Int, refund: Double) {
+        val time = maxOf(now, ownAt ?: now)
+        recentUsage = ownSlots(time) * seconds(AveragingTime)
+        ownUsage = max(0.0, ownUsage(time) - refund)
+        ownAt = time
+        ownRunning += slots
+        ownReserve += reserve
+    }
+
+    fun usage(now: Instant): Double = ownUsage(now) + peers.usage(now)
+
+    /** Slots in use fleet-wide, averaged over about a second. */
+    fun slots(now: Instant): Double = ownSlots(now) + peers.slots
+
+    fun isNegligible(now: Instant): Boolean =
+        ownRunning == 0 && peers.slots == 0.0 && peers.waiting == 0 && usage(now) < NEGLIGIBLE_USAGE
+}
+
+/** Sum of the latest reports of all peers for one pool and owner, brought forward to [at]. */
+internal data class PeerTotals(
+    val at: Instant = Instant.DISTANT_PAST,
+    val usage: Double = 0.0,
+    val slots: Double = 0.0,
+    val reserve: Int = 0,
+    val waiting: Int = 0,
+) {
+    fun usage(now: Instant): Double =
+        if (at == Instant.DISTANT_PAST) 0.0 else advance(usage, slots, now - at, AccrualLimit)
+}
+
+/**
+ * Measures recent slot time per pool and owner: the entry's own plus what its peers report. Not thread-safe; the
+ * [QueueTable] guards it.
+ */
+public class UsageMeter {
+    private class Report(val sequence: Long, val takenAt: Instant, val rows: Map<AccountKey, UsageRow>)
+
+    private data class AccountKey(val pool: PoolName, val owner: QueueOwner)
+
+    private val pools = HashMap<PoolName, LinkedHashMap<QueueOwner, UsageAccount>>()
+    private val reports = LinkedHashMap<EntryIdentity, Report>()
+    private var sequence = 0L
+
+    /** Notes that work of [owner] has started on a slot of [pool], on the urgent reserve if [onReserve]. */
+    public fun start(pool: PoolName, owner: QueueOwner, onReserve: Boolean, now: Instant) {
+        account(pool, owner).change(now, 1, if (onReserve) 1 else 0, refund = 0.0)
+    }
+
+    /** Notes that work started at [startedAt] has left its slot; if it never [ran], its slot time is taken back. */
+    public fun end(
+        pool: PoolName,
+        owner: QueueOwner,
+        onReserve: Boolean,
+        startedAt: Instant,
+        ran: Boolean,
+        now: Instant,
+    ) {
+        val refund = if (ran) 0.0 else advance(0.0, 1.0, now - startedAt)
+        account(pool, owner).change(now, -1, if (onReserve) -1 else 0, refund)
+    }
+
+    /** Returns the fleet-wide recent usage of [pool] by [owner], in slot-seconds. */
+    public fun usage(pool: PoolName, owner: QueueOwner, now: Instant): Double =
+        pools[pool]?.get(owner)?.usage(now) ?: 0.0
+
+    /** Returns a snapshot of the entry's own use; [waiting] gives the requests that lack only a slot. */
+    public fun snapshot(now: Instant, waiting: (PoolName, QueueOwner) -> Int): UsageSnapshot {
+        val rows =
+            pools.flatMap { (pool, accounts) ->
+                accounts.map { (owner, account) ->
+                    val usage = account.ownUsage(now)
+                    UsageRow(pool, owner, usage, account.ownSlots(now), account.ownReserve, waiting(pool, owner))
+                }
+            }
+        val kept = rows.filter { it.usage >= NEGLIGIBLE_USAGE || it.slots > NEGLIGIBLE_USAGE || it.waiting > 0 }
+        return UsageSnapshot(++sequence, kept)
+    }
+
+    /**
+     * Replaces what [peer] reported before, unless [snapshot] is not newer; [takenAt] is the receiver's clock less the
+     * age of the snapshot. Returns whether the snapshot was used.
+     */
+    public fun report(peer: EntryIdentity, snapshot: UsageSnapshot, takenAt: Instant, now: Instant): Boolean {
+        val previous = reports[peer]
+        if (previous != null && previous.sequence >= snapshot.sequence) return false
+        val rows = snapshot.rows.associateBy { AccountKey(it.pool, it.owner) }
+        reports[peer] = Report(snapshot.sequence, minOf(takenAt, now), rows)
+        (rows.keys + previous?.rows?.keys.orEmpty()).forEach { recomputePeers(it, now) }
+        return true
+    }
+
+    /** Drops what [peer] has reported, after it has left or ended. */
+    public fun forget(peer: EntryIdentity, now: Instant) {
+        reports.remove(peer)?.rows?.keys?.forEach { recomputePeers(it, now) }
+    }
+
+    /** Removes accounts of [pool] without recent use, except those that [keep] names, to bound the memory. */
+    internal fun prune(pool: PoolName, now: Instant, keep: (QueueOwner) -> Boolean) {
+        pools[pool]?.entries?.removeIf { (owner, account) -> !keep(owner) && account.isNegligible(now) }
+    }
+
+    internal fun accounts(pool: PoolName): Map<QueueOwner, UsageAccount> = pools[pool].orEmpty()
+
+    internal fun account(pool: PoolName, owner: QueueOwner): UsageAccount =
+        pools.getOrPut(pool) { LinkedHashMap() }.getOrPut(owner) { UsageAccount() }
+
+    private fun recomputePeers(key: AccountKey, now: Instant) {
+        var totals = PeerTotals(at = now)
+        for (report in reports.values) {
+            val row = report.rows[key] ?: continue
+            val age = now - report.takenAt
+            val current = age <= AccrualLimit
+            totals =
+                totals.copy(
+                    usage = totals.usage + advance(row.usage, row.slots, age, AccrualLimit),
+                    slots = totals.slots + if (current) row.slots else 0.0,
+                    reserve = totals.reserve + if (current) row.reserve else 0,
+                    waiting = totals.waiting + if (current) row.waiting else 0,
+                )
+        }
+        account(key.pool, key.owner).peers = totals
+    }
+}
