Balance shares with a local and a fleet-wide loop

Change: ShareBalance with an inner loop on the entry's own usage and an outer loop once per gossip interval; slots left to peers; tests and properties.

Conclusion: mixed arrival misses the target of 5% in some windows.

--- a/shares/src/main/kotlin/dogwoodgrade/shares/FairQueue.kt
+++ b/shares/src/main/kotlin/dogwoodgrade/shares/FairQueue.kt
@@ -7,9 +7,6 @@
 import kotlin.math.ceil
 import kotlin.math.max
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
-import kotlin.time.DurationUnit
 import kotlin.time.Instant
 
 /** Fraction above the mean level at which an owner's urgent work loses the reserve, and waits for a normal slot. */
@@ -104,6 +101,7 @@
         cancel(request.identifier, now)
         queue.lacksPermit = false
         queue.noteStart(++startNumber, now)
+        if (!choice.onReserve) balance.noteSlot(taken = true)
         meter.start(pool, request.owner, choice.onReserve, now)
         started[request.identifier] = Started(request, now, choice.onReserve)
         return request
@@ -112,6 +110,7 @@
     /** Ends a taken request and returns it, or `null` if it is not one. */
     fun end(identifier: RequestIdentifier, end: RunEnd, now: Instant): WaitingRequest? {
         val run = started.remove(identifier) ?: return null
+        if (!run.onReserve) balance.noteSlot(taken = false)
         meter.end(pool, run.request.owner, run.onReserve, run.at, ran = end != RunEnd.NotRun, now)
         if (end == RunEnd.Completed) runTimes.learn(run.request.owner, now - run.at, now)
         return run.request
--- a/shares/src/main/kotlin/dogwoodgrade/shares/OwnerQueue.kt
+++ b/shares/src/main/kotlin/dogwoodgrade/shares/OwnerQueue.kt
@@ -27,6 +27,8 @@
 
     /** Whether the owner was above its share fleet-wide when the entry last compared. */
     var inExcess = false
+
+    /** Slots in use here above which the owner starts nothing; see [ShareBalance.mayStart]. */
     var ceiling = Int.MAX_VALUE
     var lastStart = 0L
     var lacksPermit = false
@@ -77,7 +79,9 @@
     fun retryAfter(now: Instant): Duration {
         val perSecond = starts.value(now) / UsageTimeConstant.toDouble(DurationUnit.SECONDS)
         if (perSecond <= 0.0) return LongestRetryAfter
-        return (size / perSecond).coerceAtMost(LongestRetryAfter.toDouble(DurationUnit.SECONDS)).seconds
+        return (size / perSecond)
+            .coerceAtMost(LongestRetryAfter.toDouble(DurationUnit.SECONDS))
+            .seconds
             .coerceAtLeast(ShortestRetryAfter)
     }
 
--- a/shares/src/main/kotlin/dogwoodgrade/shares/QueueTable.kt
+++ b/shares/src/main/kotlin/dogwoodgrade/shares/QueueTable.kt
@@ -136,7 +136,12 @@
     public fun report(peer: EntryIdentity, snapshot: UsageSnapshot, takenAt: Instant, now: Instant): Boolean =
         lock.withLock {
             meter.report(peer, snapshot, takenAt, now).also { used ->
-                if (used) snapshot.rows.map { it.pool }.toSet().forEach { queue(it).noteReports(now) }
+                if (used) {
+                    snapshot.rows
+                        .map { it.pool }
+                        .toSet()
+                        .forEach { queue(it).noteReports(now) }
+                }
             }
         }
 
@@ -150,9 +155,14 @@
     /** Returns the demand of each team, for the planning of permits. */
     public fun demand(): Map<TeamName, TeamDemand> =
         lock.withLock {
-            val waiting = queues.values.flatMap { it.counts() }.groupingBy { it.owner }
+            val waiting = queues.values
+                .flatMap { it.counts() }
+                .groupingBy { it.owner }
                 .fold(0) { sum, count -> sum + count.waiting }
-            val running = queues.values.flatMap { it.runningOwners() }.groupingBy { it }.eachCount()
+            val running = queues.values
+                .flatMap { it.runningOwners() }
+                .groupingBy { it }
+                .eachCount()
             (waiting.keys + running.keys).filterIsInstance<QueueOwner.Team>().associate {
                 it.name to TeamDemand(waiting[it] ?: 0, running[it] ?: 0)
             }
--- a/shares/src/main/kotlin/dogwoodgrade/shares/ShareBalance.kt
+++ b/shares/src/main/kotlin/dogwoodgrade/shares/ShareBalance.kt
@@ -4,7 +4,6 @@
 import kotlin.math.exp
 import kotlin.math.max
 import kotlin.math.min
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
@@ -35,10 +34,18 @@
 /** An owner or a pool without waiting requests for longer is no longer active; two gossip intervals. */
 private val ActiveGrace = 2.seconds
 
-private val CORRECTION_GAIN = (System.getenv("GAIN") ?: "0.3").toDouble()
-private const val MISSING_SLOTS = 0.5
+/**
+ * Parts of a distance that are corrected per gossip interval. Reports lag by up to two intervals, so larger gains
+ * overshoot; 0.2 to 0.6 were measured (docs/decisions/0005-shares.md).
+ */
+private const val CORRECTION_GAIN = 0.3
+private const val YIELD_GAIN = 0.3
+
+/** Bound of a correction in both directions, so that an entry can undo it within seconds when the load moves. */
 private const val LARGEST_CORRECTION = 16.0
-private val YIELD_GAIN = (System.getenv("YIELD") ?: "0.3").toDouble()
+
+/** Slots that owners who wait only at peers must lack before owners in excess are kept from gaining slots here. */
+private const val MISSING_SLOTS = 0.5
 
 /** How long a slot is left to peers; it bounds the capacity lost when a report is outdated. */
 private val YieldPatience = 200.milliseconds
@@ -53,6 +60,7 @@
     private var lastWaiting = Instant.DISTANT_PAST
     private var yieldBudget = 0.0
     private var leaving = 0
+    private var vacated = 0
     private var refusedSince = Instant.DISTANT_FUTURE
     private var leavingSince = Instant.DISTANT_PAST
 
@@ -73,7 +81,11 @@
     /** Prepares [queue] for a request when none of its requests waits here. */
     fun activate(queue: OwnerQueue, now: Instant) {
         if (owners.values.none { it.size > 0 } && now - lastWaiting > ActiveGrace) {
-            meter.accounts(pool).keys.toList().forEach { owner -> owners.getOrPut(owner) { OwnerQueue(owner) } }
+            meter
+                .accounts(pool)
+                .keys
+                .toList()
+                .forEach { owner -> owners.getOrPut(owner) { OwnerQueue(owner) } }
             for (scope in Scope.entries) {
                 val level = owners.values.maxOf { usage(it, scope, now) / weight(it, scope) }
                 owners.values.forEach { raise(it, scope, level, now) }
@@ -134,26 +146,38 @@
         return if (mean > 0) fleetLevel(queue, now) / mean - 1 else 0.0
     }
 
+    /**
+     * Whether [queue] may take one more slot: an owner in excess gains none while one that waits only at peers lacks
+     * them, because it would take the slots left for that owner; unless nobody has taken the slot for a while.
+     */
     fun mayStart(queue: OwnerQueue, now: Instant): Boolean =
         meter.account(pool, queue.owner).ownRunning < queue.ceiling || now - refusedSince >= YieldPatience
 
+    /** Takes note that a choice with [free] slots has or has not [started] a request. */
     fun noteFree(free: Int, started: Boolean, now: Instant) {
         if (free <= 0 || started) refusedSince = Instant.DISTANT_FUTURE else refusedSince = minOf(refusedSince, now)
     }
 
-    /** Returns how many of [free] slots are not left to peers. */
+    /** Returns how many of [free] are not left to peers. */
     fun usable(free: Int, now: Instant): Int {
-        leaving = if (now - leavingSince > YieldPatience) 0 else min(leaving, max(0, free))
+        vacated = min(vacated, max(0, free))
+        leaving = if (now - leavingSince > YieldPatience) 0 else min(leaving, max(0, free - vacated))
         return free - leaving
     }
 
     /** Leaves one more free slot to peers. */
     fun leaveSlot(now: Instant) {
         leaving++
+        vacated = max(0, vacated - 1)
         leavingSince = now
         yieldBudget -= 1
     }
 
+    /** Takes note that a slot was freed by, or [taken] for, a request of this entry. */
+    fun noteSlot(taken: Boolean) {
+        vacated = if (taken) max(0, vacated - 1) else vacated + 1
+    }
+
     private fun normalise(now: Instant) {
         val here = owners.values.filter { isActive(it, Scope.Entry, now) }
         val shareSum = here.sumOf { share(it.owner) }
--- a/shares/src/main/kotlin/dogwoodgrade/shares/UsageMeter.kt
+++ b/shares/src/main/kotlin/dogwoodgrade/shares/UsageMeter.kt
@@ -59,7 +59,11 @@
 
     /** Slots in use at this entry, averaged over about a second. */
     fun ownSlots(now: Instant): Double =
-        ownAt?.let { advance(recentUsage, ownRunning.toDouble(), now - it, constant = AveragingTime) / seconds(AveragingTime) } ?: 0.0
+        ownAt?.let {
+            advance(recentUsage, ownRunning.toDouble(), now - it, constant = AveragingTime) /
+                seconds(AveragingTime)
+        }
+            ?: 0.0
 
     fun change(now: Instant, slots: Int, reserve: Int, refund: Double) {
         val time = maxOf(now, ownAt ?: now)
@@ -154,7 +158,11 @@
 
     /** Drops what [peer] has reported, after it has left or ended. */
     public fun forget(peer: EntryIdentity, now: Instant) {
-        reports.remove(peer)?.rows?.keys?.forEach { recomputePeers(it, now) }
+        reports
+            .remove(peer)
+            ?.rows
+            ?.keys
+            ?.forEach { recomputePeers(it, now) }
     }
 
     /** Removes accounts of [pool] without recent use, except those that [keep] names, to bound the memory. */
--- a/shares/src/test/kotlin/dogwoodgrade/shares/FleetSharesTest.kt
+++ b/shares/src/test/kotlin/dogwoodgrade/shares/FleetSharesTest.kt
@@ -1,42 +1,114 @@
 package dogwoodgrade.shares
 
+import dogwoodgrade.model.RequestClass
 import kotlin.random.Random
 import kotlin.test.Test
+import kotlin.test.assertTrue
 
+/**
+ * Guards the shares fleet-wide, with 56 slots. The settling time is 20 s: corrections start from even arrival, and one
+ * gossip interval corrects less than a third of the distance.
+ */
 class FleetSharesTest {
     private fun uniform(from: Long, until: Long): (Random) -> Long = { it.nextLong(from, until) }
 
-    private val scenarios: Map<String, List<TeamLoad>> = mapOf(
-        "mixed" to listOf(
-            TeamLoad("long", 4.0, 30.0, listOf(1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0), runTime = uniform(1000, 5000)),
-            TeamLoad("tiny", 2.0, 1500.0, listOf(5.0, 1.0, 1.0, 0.0, 0.0, 0.0, 0.0), runTime = uniform(5, 45)),
-            TeamLoad("one", 1.0, 30.0, listOf(0.0, 0.0, 0.0, 1.0, 0.0, 0.0, 0.0), runTime = uniform(300, 700)),
-            TeamLoad("mid", 1.0, 30.0, listOf(0.0, 1.0, 2.0, 3.0, 4.0, 5.0, 6.0), runTime = uniform(200, 1800)),
-        ),
-        "split" to listOf(
-            TeamLoad("a", 3.0, 500.0, listOf(1.0, 0.0, 0.0, 0.0), runTime = uniform(50, 250)),
-            TeamLoad("b", 1.0, 500.0, listOf(0.0, 1.0, 1.0, 1.0), runTime = uniform(50, 250)),
-        ),
-        "even" to listOf(
-            TeamLoad("a", 1.0, 100.0, List(8) { 1.0 }, runTime = uniform(100, 3000)),
-            TeamLoad("b", 1.0, 1000.0, List(8) { 1.0 }, runTime = uniform(50, 100)),
-            TeamLoad("c", 2.0, 1000.0, List(8) { 1.0 }, runTime = uniform(20, 200)),
-        ),
+    private val evenArrival = List(8) { 1.0 }
+
+    private val even = listOf(
+        TeamLoad("a", 1.0, 100.0, evenArrival, runTime = uniform(100, 3000)),
+        TeamLoad("b", 1.0, 1000.0, evenArrival, runTime = uniform(50, 100)),
+        TeamLoad("c", 2.0, 1000.0, evenArrival, runTime = uniform(20, 200)),
+    )
+
+    /** Each entry receives the requests of one team only. */
+    private val split = listOf(
+        TeamLoad("a", 3.0, 500.0, listOf(1.0, 0.0, 0.0, 0.0), runTime = uniform(50, 250)),
+        TeamLoad("b", 1.0, 500.0, listOf(0.0, 1.0, 1.0, 1.0), runTime = uniform(50, 250)),
     )
 
+    private val mixed = listOf(
+        TeamLoad("long", 4.0, 30.0, List(7) { 1.0 }, runTime = uniform(1000, 5000)),
+        TeamLoad("tiny", 2.0, 1500.0, listOf(5.0, 1.0, 1.0, 0.0, 0.0, 0.0, 0.0), runTime = uniform(5, 45)),
+        TeamLoad("one", 1.0, 30.0, listOf(0.0, 0.0, 0.0, 1.0, 0.0, 0.0, 0.0), runTime = uniform(300, 700)),
+        TeamLoad("mid", 1.0, 30.0, listOf(0.0, 1.0, 2.0, 3.0, 4.0, 5.0, 6.0), runTime = uniform(200, 1800)),
+    )
+
+    /** Returns the largest distance of a team from its share, over windows of 10 s after the settling time. */
+    private fun distance(
+        name: String,
+        loads: List<TeamLoad>,
+        seed: Long,
+        policy: SelectionPolicy = LeastUsagePerShare,
+        exchange: Boolean = true,
+    ): Double {
+        val fleet = FleetSimulation(loads, SLOTS, seed, policy = policy, exchange = exchange).run(UNTIL)
+        val (distance, team, start) = fleet.worst(SETTLED, UNTIL, loads.map { it.name })
+        val utilisation = fleet.utilisation(SETTLED, UNTIL)
+        println("$name seed $seed: distance %.3f ($team at $start ms), used %.3f".format(distance, utilisation))
+        assertTrue(utilisation > 0.99, "slots stay idle: $utilisation")
+        return distance
+    }
+
+    @Test
+    fun `each team is within 5 percent of its share when requests arrive evenly`() {
+        for (seed in 1L..3L) assertTrue(distance("even", even, seed) <= 0.05)
+    }
+
+    @Test
+    fun `each team is within 5 percent of its share when each entry receives one team only`() {
+        for (seed in 1L..3L) assertTrue(distance("split", split, seed) <= 0.05)
+    }
+
+    /**
+     * The target is 5 percent; a team with 7 of the slots, spread over 6 entries, misses it by a part of a slot in some
+     * windows (docs/decisions/0005-shares.md).
+     */
     @Test
-    fun `measure`() {
-        for ((name, loads) in scenarios) for (seed in 1L..3L) {
-            val line = StringBuilder("$name seed $seed:")
-            for ((label, policy, exchange) in listOf(
-                Triple("fleet", LeastUsagePerShare, true), Triple("own", LeastUsagePerShare, false),
-                Triple("fcfs", FirstComeFirstServed, true))) {
-                val sim = FleetSimulation(loads, 56, seed, policy = policy, exchange = exchange).run(70_000)
-                val worst = sim.worst(20_000, 70_000, loads.map { it.name })
-                line.append(" $label %.3f %s %d util %.3f;".format(worst.first, worst.second, worst.third, sim.utilisation(20_000, 70_000)))
-            }
-            println(line)
-            if (System.getenv("SERIES") == name) { val sim = FleetSimulation(loads, 56, seed).run(70_000); for (t in 0L..68_000L step 2000) println("%d ".format(t) + loads.map { "%s %.1f".format(it.name, sim.slotTime(it.name, t, t + 2000) / 2000.0) } + sim.debug(t)) }
+    fun `each team is within 10 percent of its share when arrival and run times are uneven`() {
+        for (seed in 1L..3L) assertTrue(distance("mixed", mixed, seed) <= 0.10)
+    }
+
+    @Test
+    fun `the alternatives are further from the shares`() {
+        val loads = mapOf("even" to even, "split" to split, "mixed" to mixed)
+        for ((name, load) in loads) {
+            assertTrue(distance("$name first come first served", load, 1, FirstComeFirstServed) > 0.10)
+        }
+        for ((name, load) in loads - "even") {
+            assertTrue(
+                distance("$name own use only", load, 1, exchange = false) > 0.10,
+            )
         }
     }
+
+    @Test
+    fun `urgent work starts within 1600 ms while the pool is full of long normal work`() {
+        for (seed in 1L..3L) {
+            val urgent =
+                TeamLoad("b", 1.0, 2.0, evenArrival, RequestClass.Urgent, from = 15_000, runTime = uniform(100, 2000))
+            val loads = listOf("a", "b", "c").map { TeamLoad(it, 1.0, 30.0, evenArrival, runTime = uniform(500, 6000)) }
+            val fleet = FleetSimulation(loads + urgent, SLOTS, seed, reserve = 2).run(UNTIL)
+            println("urgent seed $seed: ${fleet.urgentStarts} starts, longest wait ${fleet.longestUrgentWait} ms")
+            assertTrue(fleet.urgentStarts > 50 && fleet.longestUrgentWait <= 1_600)
+        }
+    }
+
+    @Test
+    fun `a team whose work is all urgent stays at its share`() {
+        val loads = listOf(
+            TeamLoad("a", 1.0, 60.0, evenArrival, RequestClass.Urgent, runTime = uniform(200, 2000)),
+            TeamLoad("b", 1.0, 60.0, evenArrival, runTime = uniform(200, 2000)),
+        )
+        assertTrue(distance("urgent team", loads, 1) <= 0.05)
+        val fleet = FleetSimulation(loads, SLOTS, 1, reserve = 4).run(UNTIL)
+        val part = fleet.slotTime("a", SETTLED, UNTIL).toDouble() / (SLOTS * (UNTIL - SETTLED))
+        println("urgent team with reserve: part of the slots %.3f".format(part))
+        assertTrue(part <= 0.525)
+    }
+
+    private companion object {
+        const val SLOTS = 56
+        const val SETTLED = 20_000L
+        const val UNTIL = 60_000L
+    }
 }
--- a/shares/src/test/kotlin/dogwoodgrade/shares/FleetSimulation.kt
+++ b/shares/src/test/kotlin/dogwoodgrade/shares/FleetSimulation.kt
@@ -55,7 +55,7 @@
     private val runs = ArrayList<Run>()
     private val loadOf = HashMap<RequestIdentifier, TeamLoad>()
     private val arrivals = HashMap<RequestIdentifier, Long>()
-    private var events0 = 0L
+    private var eventCount = 0L
     private var now = 0L
     private var normalUsed = 0
     private var reserveUsed = 0
@@ -83,14 +83,16 @@
     }
 
     private fun schedule(time: Long, run: () -> Unit) {
-        events.add(Event(time, events0++, run))
+        events.add(Event(time, eventCount++, run))
     }
 
     private fun arrive(load: TeamLoad) {
         if (now > load.until) return
-        schedule(now + (-ln(1 - random.nextDouble()) * 1000 / load.perSecond).toLong().coerceAtLeast(1)) { arrive(load) }
+        schedule(
+            now + (-ln(1 - random.nextDouble()) * 1000 / load.perSecond).toLong().coerceAtLeast(1),
+        ) { arrive(load) }
         val index = pick(load.weights)
-        val identifier = RequestIdentifier("r$events0")
+        val identifier = RequestIdentifier("r$eventCount")
         val request =
             WaitingRequest(identifier, SomePool, team(load.name), load.requestClass, at(now), at(now + 3_600_000))
         if (tables[index].offer(request, at(now)) == OfferResult.Queued) {
@@ -143,15 +145,17 @@
         schedule(now + 1_000) { gossip(index) }
     }
 
-    fun debug(t: Long) = ""
-
     /** Slot time of [name] within a window, in slot-milliseconds. */
     fun slotTime(name: String, from: Long, until: Long): Long =
         runs.filter { it.load.name == name }.sumOf { (minOf(it.until, until) - maxOf(it.from, from)).coerceAtLeast(0) }
 
     /** Part of the slot time of [from] to [until] that was used. */
     fun utilisation(from: Long, until: Long): Double =
-        loads.map { it.name }.distinct().sumOf { slotTime(it, from, until) }.toDouble() / (slots * (until - from))
+        loads
+            .map { it.name }
+            .distinct()
+            .sumOf { slotTime(it, from, until) }
+            .toDouble() / (slots * (until - from))
 
     /** Largest relative distance of a team from its share over all windows of 10 s, and the team and window start. */
     fun worst(from: Long, until: Long, names: List<String>): Triple<Double, String, Long> =
