--- /dev/null
+++ b/limits/src/test/kotlin/dogwoodgrade/limits/PermitTableConcurrencyTest.kt
@@ -0,0 +1,41 @@
+package dogwoodgrade.limits
+
+import dogwoodgrade.model.Offset
+import org.jetbrains.lincheck.datastructures.Operation
+import org.jetbrains.lincheck.datastructures.StressOptions
+import kotlin.test.Test
+import kotlin.time.Instant
+
+/** Lincheck creates the class anew for each run and compares concurrent with sequential results. */
+class PermitTableConcurrencyTest {
+    private val a = entry("a")
+    private val full = PermitLedger().fold({
+        it.setLimit(RED, 2)
+    }, { it.join(a) }, { it.applyReport(report(a, 1, take = 2)) })
+    private val table = PermitTable(a).also { it.accept(Offset(3), full) }
+
+    @Operation
+    fun acquire(): Boolean = table.tryAcquire(RED)
+
+    @Operation
+    fun release(): Boolean = runCatching { table.release(RED) }.isSuccess
+
+    @Operation
+    fun lower(): Boolean = table.accept(Offset(4), full.fold({ it.setLimit(RED, 1) }))
+
+    @Operation
+    fun plan(): String = table.planReport(Instant.fromEpochSeconds(0), setOf(a), emptyMap()).toString()
+
+    @Operation
+    fun returned(): Boolean = table.allReturned()
+
+    @Test
+    fun `concurrent operations give results of some sequential order, so no permit is spent twice`() {
+        StressOptions()
+            .iterations(20)
+            .invocationsPerIteration(500)
+            .threads(3)
+            .actorsPerThread(3)
+            .check(this::class)
+    }
+}
