--- a/limits/src/test/kotlin/dogwoodgrade/limits/PermitTableTest.kt
+++ b/limits/src/test/kotlin/dogwoodgrade/limits/PermitTableTest.kt
@@ -45,6 +45,15 @@
         assertNull(plan(2, demand = 4))
     }
 
+    @Test
+    fun `no task starts above a lowered limit although the permits are still held`() {
+        val holding = joined.fold({ it.applyReport(report(a, 1, take = 4)) })
+        table.accept(Offset(3), holding)
+        assertTrue(table.tryAcquire(RED) && table.tryAcquire(RED))
+        table.accept(Offset(4), holding.fold({ it.setLimit(RED, 2) }))
+        assertFalse(table.tryAcquire(RED))
+    }
+
     @Test
     fun `shutdown releases what is idle, takes nothing and ends when the ledger shows no permits`() {
         val holding = joined.fold({ it.applyReport(report(a, 1, take = 3, wanted = 3)) })
