--- a/maintenance/src/main/kotlin/dogwoodgrade/maintenance/PlanWave.kt
+++ b/maintenance/src/main/kotlin/dogwoodgrade/maintenance/PlanWave.kt
@@ -14,8 +14,10 @@
  * The order is: due instances in zones that are out of service, as they serve nothing; then racks whose due instances
  * fit into the budgets of all their pools, so that a rack is visited once; then the rest of each pool's budget. A pool
  * works in one zone at a time and always fills its budget there, which takes
- * `sum over zones of ceil(due instances / budget)` waves, the fewest possible. The zone with the instance longest not
- * maintained comes first, and in it the instances longest not maintained. Failed instances are not drained, and they use up their pool's budget.
+ * `sum over zones of ceil(due instances / budget)` waves, the fewest possible.
+ *
+ * The zone with the instance longest not maintained comes first, and in it the instances longest not maintained.
+ * Failed instances are not drained, and they use up their pool's budget.
  */
 public fun planWave(
     state: ConfigurationState,
