--- a/membership/src/main/kotlin/dogwoodgrade/membership/Cell.kt
+++ b/membership/src/main/kotlin/dogwoodgrade/membership/Cell.kt
@@ -15,8 +15,8 @@
 
 /**
  * One published number. [value] counts requests for a load and units of [USAGE_UNIT_MILLISECONDS] for a usage.
- * [changedAt] and [namedAt] are heartbeats of the owner: no later change of the value or of the name is known. In a
- * copy received from a peer they are upper bounds, which at worst repeats a cell in a message.
+ * [changedAt] and [namedAt] are heartbeats of the owner: the value and the name have not changed after them. In a copy
+ * received from a peer they may be too large, which at worst repeats a cell in a message.
  */
 public data class Cell(
     public val name: CellName,
@@ -25,13 +25,20 @@
     public val namedAt: Long,
 )
 
-/** New value of the cell at [index]; [name] is present if the receiver may not know it. */
+/**
+ * New value of the cell at [index], which moved [age] heartbeats before the state's; [name] is present if the receiver
+ * may not know it. The age keeps a peer from passing the cell on to members that have it.
+ */
 public data class CellUpdate(
     public val index: Int,
     public val name: CellName?,
     public val value: Long,
+    public val age: Int = 0,
 )
 
+/** Largest age of a cell in a message, in heartbeats; it takes one byte, and older cells are rarely asked for. */
+public const val MAX_CELL_AGE: Int = 127
+
 /**
  * Unit of published usage, in milliseconds of one slot. Usage is published as a sum that only grows, so an idle team
  * costs no bytes; the unit keeps teams with little work from being published every second.
--- a/membership/src/main/kotlin/dogwoodgrade/membership/Freshness.kt
+++ b/membership/src/main/kotlin/dogwoodgrade/membership/Freshness.kt
@@ -35,8 +35,8 @@
     public val verifyingSince: Instant? = null,
 ) {
     /**
-     * Records an own tick. A gap of more than [LongestTickGap] since the previous one is a pause, so the ticks must come
-     * several times per second.
+     * Records an own tick. A gap of more than [LongestTickGap] since the previous one is a pause, so the ticks must
+     * come several times per second.
      */
     public fun tick(now: Instant): Freshness {
         val time = maxOf(now, lastTick)
@@ -66,8 +66,8 @@
     }
 
     /**
-     * Records that every path, asked at [askedAt] or later, has failed. This ends the check after a pause; the age then
-     * decides whether the configuration is stale.
+     * Records that every path, asked at [askedAt] or later, has failed. This ends the check after a pause; the age
+     * then decides whether the configuration is stale.
      */
     public fun everyPathFailed(askedAt: Instant): Freshness =
         if (verifyingSince != null && askedAt >= verifyingSince) copy(verifyingSince = null) else this
--- a/membership/src/main/kotlin/dogwoodgrade/membership/GossipMessage.kt
+++ b/membership/src/main/kotlin/dogwoodgrade/membership/GossipMessage.kt
@@ -12,23 +12,17 @@
     public val contact: LogContact,
 )
 
-/** A message to send to [address]. */
-public data class GossipRequest(
-    public val address: PeerAddress,
-    public val message: GossipMessage,
-)
-
 /**
- * Bounds of messages. A message stops growing when its estimated size passes [messageBytes]; a member publishes no
- * further cells when its complete state passes [stateBytes]. Together they keep every message below 128 KiB.
- * [cellsPerSecond] is divided among the members, so that the bytes per second of an entry do not grow with the number
- * of teams and pools; the cells that moved most are published first. Members are sent in full
- * again, in rotation, at [refreshBytesPerSecond].
+ * Bounds of messages, in bytes.
+ *
+ * A message stops growing when its estimated size passes [messageBytes]; a member names no further cells when its
+ * complete state passes [stateBytes]. Together they keep every message below 128 KiB. [cellBytesPerSecond] is divided
+ * among the members, so that the bytes per second of an entry do not grow with the number of teams and pools; the
+ * cells that moved most are published first. Members are sent in full again, in rotation, at [refreshBytesPerSecond].
  */
 public data class GossipSettings(
     public val messageBytes: Int = 48 * 1024,
     public val stateBytes: Int = 48 * 1024,
-    public val cellsPerSecond: Int = 192,
-    public val minimumCellsPerTick: Int = 2,
+    public val cellBytesPerSecond: Int = 768,
     public val refreshBytesPerSecond: Int = 64,
 )
--- a/membership/src/main/kotlin/dogwoodgrade/membership/MemberState.kt
+++ b/membership/src/main/kotlin/dogwoodgrade/membership/MemberState.kt
@@ -47,8 +47,7 @@
         require(held.introduction.identity.name == introduction.identity.name) { "the delta is of another member" }
         return if (held.isOlderThan(state)) state else held
     }
-    if (held == null || held.key != delta.key) return held
-    if (delta.heartbeat <= held.heartbeat || delta.base > held.heartbeat) return held
+    if (held == null || held.key != delta.key || held.heartbeat !in delta.base until delta.heartbeat) return held
     val cells = updatedCells(held.cells, delta) ?: return held
     return held.copy(
         heartbeat = delta.heartbeat,
@@ -67,7 +66,8 @@
         contact = contact,
         cells =
             cells.withIndex().filter { it.value.changedAt > base }.map { (index, cell) ->
-                CellUpdate(index, cell.name.takeIf { cell.namedAt > base }, cell.value)
+                val age = (heartbeat - cell.changedAt).coerceIn(0, MAX_CELL_AGE.toLong()).toInt()
+                CellUpdate(index, cell.name.takeIf { cell.namedAt > base }, cell.value, age)
             },
     )
 
@@ -89,8 +89,9 @@
     for (update in delta.cells) {
         val previous = cells.getOrNull(update.index)
         val name = update.name ?: previous?.name ?: return null
-        val namedAt = if (update.name == null) previous?.namedAt ?: return null else delta.heartbeat
-        val cell = Cell(name, update.value, delta.heartbeat, namedAt)
+        val changedAt = delta.heartbeat - update.age
+        val namedAt = if (update.name == null) previous?.namedAt ?: return null else changedAt
+        val cell = Cell(name, update.value, changedAt, namedAt)
         when {
             previous != null -> cells[update.index] = cell
             update.index == cells.size -> cells += cell
@@ -102,5 +103,5 @@
 
 private const val DELTA_OVERHEAD_BYTES = 40
 
-/** Index step and value of a cell, in bytes. */
-private const val CELL_BYTES = 5
+/** Index step, age and value of a cell, in bytes. */
+internal const val CELL_BYTES: Int = 5
--- a/membership/src/main/kotlin/dogwoodgrade/membership/MemberTable.kt
+++ b/membership/src/main/kotlin/dogwoodgrade/membership/MemberTable.kt
@@ -34,6 +34,7 @@
     private val acknowledged = HashMap<PeerAddress, Long>()
     private var state: MemberState? = null
     private var round = 0L
+    private var omitted: MemberKey? = null
     private var refreshCredit = 0
     private var refreshed = own.identity.name
 
@@ -42,36 +43,36 @@
         lock.withLock {
             members.values.removeIf { now - it.progressedAt > ForgottenAfter }
             val heartbeat = (state?.heartbeat ?: 0) + 1
-            val budget = maxOf(settings.minimumCellsPerTick, settings.cellsPerSecond / (alive(now).size + 1))
+            val budget = settings.cellBytesPerSecond / (alive(now).size + 1)
             val cells = publishCells(state?.cells.orEmpty(), report, heartbeat, budget, settings.stateBytes)
             state = MemberState(own, heartbeat, report.contact, cells)
         }
 
-    /** Returns the requests of the next gossip round, at most [PEERS_PER_ROUND]; none before the first tick. */
-    public fun planGossip(now: Instant): List<GossipRequest> =
+    /** Returns the peers of the next gossip round, at most [PEERS_PER_ROUND]. Called once per second. */
+    public fun planGossip(now: Instant): List<PeerAddress> =
         lock.withLock {
-            val ownState = state ?: return@withLock emptyList()
             val peers = candidates(now)
             acknowledged.keys.retainAll(peers.mapTo(HashSet()) { it.address })
-            val addresses = choosePeers(peers, own.address, own.zone, round)
-            val digest = digest(now, refreshedMember(now))
-            round++
-            addresses.mapIndexed { index, address ->
-                val change = ownState.since(acknowledged[address] ?: 0)
-                val message = GossipMessage(
-                    if (index ==
-                        0
-                    ) {
-                        digest
-                    } else {
-                        digest(now, null)
-                    },
+            omitted = refreshedMember(now)
+            choosePeers(peers, own.address, own.zone, round++)
+        }
+
+    /**
+     * Returns the request to the peer at [address], or `null` before the first tick. Asking the second peer of a round
+     * after the first has answered keeps both from sending the same.
+     */
+    public fun requestTo(now: Instant, address: PeerAddress): GossipMessage? =
+        lock.withLock {
+            val ownState = state ?: return@withLock null
+            val message =
+                GossipMessage(
+                    digest(now, omitted),
                     0,
-                    listOf(change),
+                    listOf(ownState.since(acknowledged[address] ?: 0)),
                     ownState.contact,
                 )
-                GossipRequest(address, message)
-            }
+            omitted = null
+            message
         }
 
     /** Merges a [request] and returns the answer, with the own [contact] of this moment. */
@@ -86,7 +87,7 @@
             GossipMessage(emptyMap(), held, changesFor(now, request.digest, requester), contact)
         }
 
-    /** Merges the [answer] of the peer at [address] to a request of [planGossip]. */
+    /** Merges the [answer] of the peer at [address] to a request of [requestTo]. */
     public fun acceptAnswer(now: Instant, address: PeerAddress, answer: GossipMessage): Unit =
         lock.withLock {
             answer.members.forEach { mergeMember(now, it) }
--- a/membership/src/main/kotlin/dogwoodgrade/membership/OwnReport.kt
+++ b/membership/src/main/kotlin/dogwoodgrade/membership/OwnReport.kt
@@ -15,15 +15,17 @@
 )
 
 /**
- * Returns the cells to publish with [heartbeat]. Changes of watched instances are published at once, because a drain
- * waits until nobody shows requests there. Of all other changes the [budget] largest are published, and the rest waits
- * for a later tick. When the names have reached [stateBytes], a cell of an idle endpoint is given to the new name.
+ * Returns the cells to publish with [heartbeat].
+ *
+ * Changes of watched instances are published at once, because a drain waits until nobody shows requests there. Of all
+ * other changes the largest are published until their estimated size reaches [budgetBytes] (at least one), and the
+ * rest waits. When the names have reached [stateBytes], a cell of an idle endpoint is given to the new name.
  */
 internal fun publishCells(
     held: List<Cell>,
     report: OwnReport,
     heartbeat: Long,
-    budget: Int,
+    budgetBytes: Int,
     stateBytes: Int,
 ): List<Cell> {
     val values = HashMap<CellName, Long>()
@@ -36,14 +38,17 @@
     }
     val moved =
         values
-            .map { (name, value) -> Movement(name, indexes[name]?.let { held[it].value } ?: 0, value) }
+            .map { (name, value) -> movementOf(name, indexes[name], held, value) }
             .filter { it.before != it.after }
     val (watched, others) = moved.partition { it.name is CellName.Load && it.name.instance in report.watched }
     val cells = ArrayList(held)
     var bytes = held.sumOf { it.name.estimatedBytes() }
-    for (movement in watched + others.sortedWith(largestFirst).take(budget)) {
+    var published = 0
+    for ((position, movement) in (watched + others.sortedWith(largestFirst)).withIndex()) {
+        if (position >= watched.size && published >= budgetBytes) break
         val known = indexes[movement.name]
         val size = movement.name.estimatedBytes()
+        published += CELL_BYTES + if (known == null) size else 0
         if (known != null) {
             cells[known] = cells[known].copy(value = movement.after, changedAt = heartbeat)
         } else {
@@ -62,15 +67,18 @@
 
 private fun Cell.isReusable(heartbeat: Long): Boolean = name is CellName.Load && value == 0L && changedAt < heartbeat
 
-private data class Movement(val name: CellName, val before: Long, val after: Long) {
+private fun movementOf(name: CellName, index: Int?, held: List<Cell>, value: Long): Movement =
+    Movement(name, index ?: Int.MAX_VALUE, if (index == null) 0 else held[index].value, value)
+
+private data class Movement(val name: CellName, val index: Int, val before: Long, val after: Long) {
     /** A request that occupies a slot counts as much as the usage of one slot for one second. */
     val size: Long get() = if (name is CellName.Load) abs(after - before) * LOAD_WEIGHT else abs(after - before)
 }
 
 private fun abs(value: Long): Long = if (value < 0) -value else value
 
-/** Ties are broken by name, so that two runs with the same input publish the same. */
+/** Ties are broken by index and name, so that two runs with the same input publish the same. */
 private val largestFirst: Comparator<Movement> =
-    compareByDescending(Movement::size).thenBy { it.name.toString() }
+    compareByDescending(Movement::size).thenBy(Movement::index).thenBy { it.name.toString() }
 
 private const val LOAD_WEIGHT = 1_000 / USAGE_UNIT_MILLISECONDS
--- a/membership/src/main/kotlin/dogwoodgrade/membership/RecentUsage.kt
+++ b/membership/src/main/kotlin/dogwoodgrade/membership/RecentUsage.kt
@@ -25,7 +25,6 @@
     val increases = HashMap<CellName.Usage, Long>()
     after.cells.forEachIndexed { index, cell ->
         val name = cell.name as? CellName.Usage ?: return@forEachIndexed
-        if (cell.changedAt <= before.heartbeat) return@forEachIndexed
         val previous = before.cells
             .getOrNull(index)
             ?.takeIf { it.name == name }
--- a/peer/src/main/kotlin/dogwoodgrade/peer/GossipMapping.kt
+++ b/peer/src/main/kotlin/dogwoodgrade/peer/GossipMapping.kt
@@ -8,6 +8,7 @@
 import dogwoodgrade.membership.GossipMessage
 import dogwoodgrade.membership.Introduction
 import dogwoodgrade.membership.LogContact
+import dogwoodgrade.membership.MAX_CELL_AGE
 import dogwoodgrade.membership.MemberDelta
 import dogwoodgrade.membership.MemberKey
 import dogwoodgrade.membership.PeerAddress
@@ -96,6 +97,7 @@
         cell.name?.let { wire.addNames(encodeName(it, wire.valuesCount)) }
         wire.addIndexSteps(cell.index - previous)
         wire.addValues(cell.value)
+        wire.addCellAges(cell.age)
         previous = cell.index
     }
 }
@@ -177,11 +179,9 @@
 
 /** Returns the cells of each member. */
 private fun decodeCells(wire: WireGossip): List<List<CellUpdate>>? {
-    if (wire.indexStepsCount != wire.valuesCount ||
-        wire.cellCountsList.sumOf { it.toLong() } != wire.valuesCount.toLong()
-    ) {
-        return null
-    }
+    val columns =
+        listOf(wire.indexStepsCount.toLong(), wire.cellAgesCount.toLong(), wire.cellCountsList.sumOf { it.toLong() })
+    if (columns.any { it != wire.valuesCount.toLong() }) return null
     val names = HashMap<Int, CellName>()
     for (name in wire.namesList) {
         val isKnownPosition = name.position in 0 until wire.valuesCount
@@ -195,8 +195,10 @@
             val step = wire.getIndexSteps(position)
             val value = wire.getValues(position)
             if (step !in 1..MAX_CELLS || value < 0 || index + step >= MAX_CELLS) return null
+            val age = wire.getCellAges(position)
+            if (age !in 0..MAX_CELL_AGE) return null
             index += step
-            CellUpdate(index, names[position++], value)
+            CellUpdate(index, names[position++], value, age)
         }
     }
 }
--- a/wire/src/main/java/dogwoodgrade/wire/PeerOuterClass.java
+++ b/wire/src/main/java/dogwoodgrade/wire/PeerOuterClass.java
@@ -75,7 +75,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\021dogwoodgrade.wire\"\211\003\n\nWire" +
+      "\n\npeer.proto\022\021dogwoodgrade.wire\"\234\003\n\nWire" +
       "Gossip\022\023\n\013digest_keys\030\001 \003(\007\022\031\n\021digest_he" +
       "artbeats\030\002 \003(\004\022\024\n\014acknowledged\030\003 \001(\004\022\026\n\016" +
       "applied_offset\030\004 \001(\004\022\023\n\013contact_age\030\005 \001(" +
@@ -85,27 +85,28 @@
       "set_distances\030\n \003(\022\022\024\n\014contact_ages\030\013 \003(" +
       "\r\022\023\n\013cell_counts\030\014 \003(\r\022\023\n\013index_steps\030\r " +
       "\003(\r\022\016\n\006values\030\016 \003(\004\022.\n\005names\030\017 \003(\0132\037.dog" +
-      "woodgrade.wire.WireCellName\"q\n\020WireIntro" +
-      "duction\022\020\n\010position\030\001 \001(\r\022\014\n\004name\030\002 \001(\t\022" +
-      "\023\n\013incarnation\030\003 \001(\004\022\014\n\004zone\030\004 \001(\t\022\014\n\004ho" +
-      "st\030\005 \001(\t\022\014\n\004port\030\006 \001(\r\"N\n\014WireCellName\022\020" +
-      "\n\010position\030\001 \001(\r\022\014\n\004pool\030\002 \001(\t\022\014\n\004team\030\003" +
-      " \001(\t\022\020\n\010instance\030\004 \001(\t\"P\n\020WireFetchReque" +
-      "st\022\014\n\004from\030\001 \001(\004\022\027\n\017maximum_records\030\002 \001(" +
-      "\r\022\025\n\rmaximum_bytes\030\003 \001(\r\"\202\001\n\017WireFetchAn" +
-      "swer\022\017\n\007records\030\001 \003(\014\0221\n\010snapshot\030\002 \001(\0132" +
-      "\037.dogwoodgrade.wire.WireSnapshot\022\026\n\016appl" +
-      "ied_offset\030\003 \001(\004\022\023\n\013contact_age\030\004 \001(\004\"-\n" +
-      "\014WireSnapshot\022\016\n\006offset\030\001 \001(\004\022\r\n\005state\030\002" +
-      " \001(\014\"\025\n\023WireIdentifyRequest\"1\n\014WireIdent" +
-      "ity\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\0042\367" +
-      "\001\n\004Peer\022H\n\010Exchange\022\035.dogwoodgrade.wire." +
-      "WireGossip\032\035.dogwoodgrade.wire.WireGossi" +
-      "p\022P\n\005Fetch\022#.dogwoodgrade.wire.WireFetch" +
-      "Request\032\".dogwoodgrade.wire.WireFetchAns" +
-      "wer\022S\n\010Identify\022&.dogwoodgrade.wire.Wire" +
-      "IdentifyRequest\032\037.dogwoodgrade.wire.Wire" +
-      "IdentityB\025\n\021dogwoodgrade.wireP\001b\006proto3"
+      "woodgrade.wire.WireCellName\022\021\n\tcell_ages" +
+      "\030\020 \003(\r\"q\n\020WireIntroduction\022\020\n\010position\030\001" +
+      " \001(\r\022\014\n\004name\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\004\022" +
+      "\014\n\004zone\030\004 \001(\t\022\014\n\004host\030\005 \001(\t\022\014\n\004port\030\006 \001(" +
+      "\r\"N\n\014WireCellName\022\020\n\010position\030\001 \001(\r\022\014\n\004p" +
+      "ool\030\002 \001(\t\022\014\n\004team\030\003 \001(\t\022\020\n\010instance\030\004 \001(" +
+      "\t\"P\n\020WireFetchRequest\022\014\n\004from\030\001 \001(\004\022\027\n\017m" +
+      "aximum_records\030\002 \001(\r\022\025\n\rmaximum_bytes\030\003 " +
+      "\001(\r\"\202\001\n\017WireFetchAnswer\022\017\n\007records\030\001 \003(\014" +
+      "\0221\n\010snapshot\030\002 \001(\0132\037.dogwoodgrade.wire.W" +
+      "ireSnapshot\022\026\n\016applied_offset\030\003 \001(\004\022\023\n\013c" +
+      "ontact_age\030\004 \001(\004\"-\n\014WireSnapshot\022\016\n\006offs" +
+      "et\030\001 \001(\004\022\r\n\005state\030\002 \001(\014\"\025\n\023WireIdentifyR" +
+      "equest\"1\n\014WireIdentity\022\014\n\004name\030\001 \001(\t\022\023\n\013" +
+      "incarnation\030\002 \001(\0042\367\001\n\004Peer\022H\n\010Exchange\022\035" +
+      ".dogwoodgrade.wire.WireGossip\032\035.dogwoodg" +
+      "rade.wire.WireGossip\022P\n\005Fetch\022#.dogwoodg" +
+      "rade.wire.WireFetchRequest\032\".dogwoodgrad" +
+      "e.wire.WireFetchAnswer\022S\n\010Identify\022&.dog" +
+      "woodgrade.wire.WireIdentifyRequest\032\037.dog" +
+      "woodgrade.wire.WireIdentityB\025\n\021dogwoodgr" +
+      "ade.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -116,7 +117,7 @@
     internal_static_dogwoodgrade_wire_WireGossip_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_dogwoodgrade_wire_WireGossip_descriptor,
-        new java.lang.String[] { "DigestKeys", "DigestHeartbeats", "Acknowledged", "AppliedOffset", "ContactAge", "Introductions", "Keys", "Heartbeats", "Advances", "OffsetDistances", "ContactAges", "CellCounts", "IndexSteps", "Values", "Names", });
+        new java.lang.String[] { "DigestKeys", "DigestHeartbeats", "Acknowledged", "AppliedOffset", "ContactAge", "Introductions", "Keys", "Heartbeats", "Advances", "OffsetDistances", "ContactAges", "CellCounts", "IndexSteps", "Values", "Names", "CellAges", });
     internal_static_dogwoodgrade_wire_WireIntroduction_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_dogwoodgrade_wire_WireIntroduction_fieldAccessorTable = new
--- a/wire/src/main/java/dogwoodgrade/wire/WireGossip.java
+++ b/wire/src/main/java/dogwoodgrade/wire/WireGossip.java
@@ -45,6 +45,7 @@
     indexSteps_ = emptyIntList();
     values_ = emptyLongList();
     names_ = java.util.Collections.emptyList();
+    cellAges_ = emptyIntList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -603,6 +604,48 @@
     return names_.get(index);
   }
 
+  public static final int CELL_AGES_FIELD_NUMBER = 16;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.Internal.IntList cellAges_ =
+      emptyIntList();
+  /**
+   * <pre>
+   * One number for each cell: heartbeats since the value moved, at most 127. The tag is paid once per message.
+   * </pre>
+   *
+   * <code>repeated uint32 cell_ages = 16;</code>
+   * @return A list containing the cellAges.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.Integer>
+      getCellAgesList() {
+    return cellAges_;
+  }
+  /**
+   * <pre>
+   * One number for each cell: heartbeats since the value moved, at most 127. The tag is paid once per message.
+   * </pre>
+   *
+   * <code>repeated uint32 cell_ages = 16;</code>
+   * @return The count of cellAges.
+   */
+  public int getCellAgesCount() {
+    return cellAges_.size();
+  }
+  /**
+   * <pre>
+   * One number for each cell: heartbeats since the value moved, at most 127. The tag is paid once per message.
+   * </pre>
+   *
+   * <code>repeated uint32 cell_ages = 16;</code>
+   * @param index The index of the element to return.
+   * @return The cellAges at the given index.
+   */
+  public int getCellAges(int index) {
+    return cellAges_.getInt(index);
+  }
+  private int cellAgesMemoizedSerializedSize = -1;
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -703,6 +746,13 @@
     for (int i = 0; i < names_.size(); i++) {
       output.writeMessage(15, names_.get(i));
     }
+    if (getCellAgesList().size() > 0) {
+      output.writeUInt32NoTag(130);
+      output.writeUInt32NoTag(cellAgesMemoizedSerializedSize);
+    }
+    for (int i = 0; i < cellAges_.size(); i++) {
+      output.writeUInt32NoTag(cellAges_.getInt(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -871,6 +921,20 @@
           }
           size += 1 * count;
         }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < cellAges_.size(); i++) {
+        dataSize += com.google.protobuf.CodedOutputStream
+          .computeUInt32SizeNoTag(cellAges_.getInt(i));
+      }
+      size += dataSize;
+      if (!getCellAgesList().isEmpty()) {
+        size += 2;
+        size += com.google.protobuf.CodedOutputStream
+            .computeInt32SizeNoTag(dataSize);
+      }
+      cellAgesMemoizedSerializedSize = dataSize;
+    }
     return size;
   }
   @java.lang.Override
@@ -925,6 +989,8 @@
         .equals(other.getValuesList())) return false;
     if (!getNamesList()
         .equals(other.getNamesList())) return false;
+    if (!getCellAgesList()
+        .equals(other.getCellAgesList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -993,6 +1059,10 @@
       hash = (37 * hash) + NAMES_FIELD_NUMBER;
       hash = (53 * hash) + getNamesList().hashCode();
     }
+    if (getCellAgesCount() > 0) {
+      hash = (37 * hash) + CELL_AGES_FIELD_NUMBER;
+      hash = (53 * hash) + getCellAgesList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1156,6 +1226,7 @@
         namesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00004000);
+      cellAges_ = emptyIntList();
       return this;
     }
 
@@ -1260,6 +1331,10 @@
         values_.makeImmutable();
         result.values_ = values_;
       }
+      if (((from_bitField0_ & 0x00008000) != 0)) {
+        cellAges_.makeImmutable();
+        result.cellAges_ = cellAges_;
+      }
     }
 
     @java.lang.Override
@@ -1445,6 +1520,17 @@
           }
         }
       }
+      if (!other.cellAges_.isEmpty()) {
+        if (cellAges_.isEmpty()) {
+          cellAges_ = other.cellAges_;
+          cellAges_.makeImmutable();
+          bitField0_ |= 0x00008000;
+        } else {
+          ensureCellAgesIsMutable();
+          cellAges_.addAll(other.cellAges_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1672,6 +1758,22 @@
               }
               break;
             } // case 122
+            case 128: {
+              int v = input.readUInt32();
+              ensureCellAgesIsMutable();
+              cellAges_.addInt(v);
+              break;
+            } // case 128
+            case 130: {
+              int length = input.readRawVarint32();
+              int limit = input.pushLimit(length);
+              ensureCellAgesIsMutable();
+              while (input.getBytesUntilLimit() > 0) {
+                cellAges_.addInt(input.readUInt32());
+              }
+              input.popLimit(limit);
+              break;
+            } // case 130
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3448,6 +3550,118 @@
       return namesBuilder_;
     }
 
+    private com.google.protobuf.Internal.IntList cellAges_ = emptyIntList();
+    private void ensureCellAgesIsMutable() {
+      if (!cellAges_.isModifiable()) {
+        cellAges_ = makeMutableCopy(cellAges_);
+      }
+      bitField0_ |= 0x00008000;
+    }
+    /**
+     * <pre>
+     * One number for each cell: heartbeats since the value moved, at most 127. The tag is paid once per message.
+     * </pre>
+     *
+     * <code>repeated uint32 cell_ages = 16;</code>
+     * @return A list containing the cellAges.
+     */
+    public java.util.List<java.lang.Integer>
+        getCellAgesList() {
+      cellAges_.makeImmutable();
+      return cellAges_;
+    }
+    /**
+     * <pre>
+     * One number for each cell: heartbeats since the value moved, at most 127. The tag is paid once per message.
+     * </pre>
+     *
+     * <code>repeated uint32 cell_ages = 16;</code>
+     * @return The count of cellAges.
+     */
+    public int getCellAgesCount() {
+      return cellAges_.size();
+    }
+    /**
+     * <pre>
+     * One number for each cell: heartbeats since the value moved, at most 127. The tag is paid once per message.
+     * </pre>
+     *
+     * <code>repeated uint32 cell_ages = 16;</code>
+     * @param index The index of the element to return.
+     * @return The cellAges at the given index.
+     */
+    public int getCellAges(int index) {
+      return cellAges_.getInt(index);
+    }
+    /**
+     * <pre>
+     * One number for each cell: heartbeats since the value moved, at most 127. The tag is paid once per message.
+     * </pre>
+     *
+     * <code>repeated uint32 cell_ages = 16;</code>
+     * @param index The index to set the value at.
+     * @param value The cellAges to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCellAges(
+        int index, int value) {
+
+      ensureCellAgesIsMutable();
+      cellAges_.setInt(index, value);
+      bitField0_ |= 0x00008000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * One number for each cell: heartbeats since the value moved, at most 127. The tag is paid once per message.
+     * </pre>
+     *
+     * <code>repeated uint32 cell_ages = 16;</code>
+     * @param value The cellAges to add.
+     * @return This builder for chaining.
+     */
+    public Builder addCellAges(int value) {
+
+      ensureCellAgesIsMutable();
+      cellAges_.addInt(value);
+      bitField0_ |= 0x00008000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * One number for each cell: heartbeats since the value moved, at most 127. The tag is paid once per message.
+     * </pre>
+     *
+     * <code>repeated uint32 cell_ages = 16;</code>
+     * @param values The cellAges to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllCellAges(
+        java.lang.Iterable<? extends java.lang.Integer> values) {
+      ensureCellAgesIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, cellAges_);
+      bitField0_ |= 0x00008000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * One number for each cell: heartbeats since the value moved, at most 127. The tag is paid once per message.
+     * </pre>
+     *
+     * <code>repeated uint32 cell_ages = 16;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCellAges() {
+      cellAges_ = emptyIntList();
+      bitField0_ = (bitField0_ & ~0x00008000);
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:dogwoodgrade.wire.WireGossip)
   }
 
--- a/wire/src/main/java/dogwoodgrade/wire/WireGossipOrBuilder.java
+++ b/wire/src/main/java/dogwoodgrade/wire/WireGossipOrBuilder.java
@@ -368,4 +368,33 @@
    */
   dogwoodgrade.wire.WireCellNameOrBuilder getNamesOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * One number for each cell: heartbeats since the value moved, at most 127. The tag is paid once per message.
+   * </pre>
+   *
+   * <code>repeated uint32 cell_ages = 16;</code>
+   * @return A list containing the cellAges.
+   */
+  java.util.List<java.lang.Integer> getCellAgesList();
+  /**
+   * <pre>
+   * One number for each cell: heartbeats since the value moved, at most 127. The tag is paid once per message.
+   * </pre>
+   *
+   * <code>repeated uint32 cell_ages = 16;</code>
+   * @return The count of cellAges.
+   */
+  int getCellAgesCount();
+  /**
+   * <pre>
+   * One number for each cell: heartbeats since the value moved, at most 127. The tag is paid once per message.
+   * </pre>
+   *
+   * <code>repeated uint32 cell_ages = 16;</code>
+   * @param index The index of the element to return.
+   * @return The cellAges at the given index.
+   */
+  int getCellAges(int index);
 }
