--- /dev/null
+++ b/control/src/main/kotlin/dogwoodgrade/control/SchemaVersions.kt
@@ -0,0 +1,14 @@
+package dogwoodgrade.control
+
+/**
+ * Schema versions of records that this release can fold.
+ *
+ * Version 2 added `refuseWhenStaleAfterMilliseconds` to teams. Records of both versions stand side by side in a stream.
+ */
+public object SchemaVersions {
+    /** The oldest supported version; always accepted. */
+    public const val OLDEST: Int = 1
+
+    /** The newest supported version. */
+    public const val NEWEST: Int = 2
+}
--- a/limits/src/main/kotlin/dogwoodgrade/limits/PermitTable.kt
+++ b/limits/src/main/kotlin/dogwoodgrade/limits/PermitTable.kt
@@ -50,6 +50,9 @@
             acquired
         }
 
+    /** Tells whether [tryAcquire] would succeed now; acquires nothing. */
+    public fun isAvailable(team: TeamName): Boolean = lock.withLock { (local.inUse[team] ?: 0) < usable(team) }
+
     /**
      * Returns the permit of a task that has ended, or whose task lease has expired.
      *
