Add the entry process and the first path from end to end

Cause: everything later depends on a request that runs from a caller through an entry to an endpoint, steered by the log.

Fleet-wide usage is not yet exchanged, so shares are balanced per entry only; that follows.

--- /dev/null
+++ b/entry/src/main/kotlin/dogwoodgrade/entry/EndpointClient.kt
@@ -0,0 +1,175 @@
+package dogwoodgrade.entry
+
+import dogwoodgrade.model.Execution
+import dogwoodgrade.model.ResultCode
+import dogwoodgrade.routing.AttemptResult
+import dogwoodgrade.routing.Reservation
+import io.netty.channel.ConnectTimeoutException
+import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpClient
+import io.vertx.core.http.HttpClientRequest
+import io.vertx.core.http.HttpClientResponse
+import io.vertx.core.http.HttpMethod
+import io.vertx.core.http.RequestOptions
+import java.util.concurrent.atomic.AtomicBoolean
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Instant
+
+/** Time within which a connection to an endpoint must be there. */
+private const val CONNECT_TIMEOUT_MILLISECONDS = 1_000L
+
+private const val STATUS_UNAVAILABLE = 503
+
+/** Headers that concern one connection only and are not forwarded (RFC 9110, section 7.6.1). */
+private val ConnectionHeaders =
+    setOf("connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade")
+
+/** Tells whether a header is forwarded. */
+internal fun isForwarded(name: String): Boolean = name.lowercase() !in ConnectionHeaders
+
+/** How an attempt ended. [headForwarded] tells whether the caller has received a part of the response. */
+internal data class AttemptEnd(val result: AttemptResult, val headForwarded: Boolean)
+
+/**
+ * Makes attempts at endpoints over HTTP/1.1 without pipelining: one request at a time on a connection, so a response
+ * belongs to the request before it. A connection with an unfinished response is closed and never used again.
+ *
+ * An attempt goes on after its caller has left or its deadline has passed, until the endpoint has answered or the task
+ * lease has expired. Its response is then discarded. So the permit of the task is held for as long as the task may run.
+ */
+internal class EndpointClient(
+    private val vertx: Vertx,
+    private val client: HttpClient,
+    private val now: () -> Instant,
+) {
+    /**
+     * Sends [call] to the endpoint of [reservation] and calls [ended] once. [mayStart] is asked after the connection is
+     * there, right before the first byte.
+     */
+    fun send(call: Call, reservation: Reservation, mayStart: () -> Boolean, ended: (AttemptEnd) -> Unit) {
+        val attempt = Attempt(call, reservation, ended)
+        val address = reservation.endpoint.address
+        val options =
+            RequestOptions()
+                .setMethod(HttpMethod.valueOf(call.request.method))
+                .setHost(address.substringBeforeLast(':'))
+                .setPort(address.substringAfterLast(':').toInt())
+                .setURI(call.request.target)
+                .setConnectTimeout(CONNECT_TIMEOUT_MILLISECONDS)
+        client.request(options).onComplete { opened ->
+            when {
+                opened.failed() -> attempt.end(connectFailure(opened.cause()))
+                !mayStart() -> {
+                    opened.result().reset()
+                    attempt.end(AttemptResult.NotSent)
+                }
+                else -> transmit(attempt, opened.result())
+            }
+        }
+    }
+
+    private fun connectFailure(cause: Throwable): AttemptResult =
+        if (cause is ConnectTimeoutException) AttemptResult.ConnectTimedOut else AttemptResult.ConnectionRefused
+
+    private fun transmit(attempt: Attempt, request: HttpClientRequest) {
+        val call = attempt.call
+        addHeaders(request, call, attempt.reservation)
+        attempt.startTimers(request)
+        request.send(Buffer.buffer(call.request.body)).onComplete { answered ->
+            if (answered.failed()) {
+                attempt.end(if (attempt.leaseExpired) AttemptResult.TimedOut else AttemptResult.FailedBeforeHead)
+            } else {
+                receive(attempt, answered.result())
+            }
+        }
+    }
+
+    private fun addHeaders(request: HttpClientRequest, call: Call, reservation: Reservation) {
+        call.request.headers.forEach { (name, value) -> request.putHeader(name, value) }
+        request.putHeader("X-Request-Id", call.request.identifier.text)
+        call.team?.let { request.putHeader("Dogwoodgrade-Team", it.text) }
+        val leaseUntil = Clock.System.now() + (reservation.leaseUntil - now())
+        request.putHeader("Dogwoodgrade-Lease-Until", leaseUntil.toEpochMilliseconds().toString())
+    }
+
+    private fun receive(attempt: Attempt, response: HttpClientResponse) {
+        if (response.getHeader("Dogwoodgrade-Executed") == "no") {
+            val busy = response.statusCode() == STATUS_UNAVAILABLE
+            response.exceptionHandler { attempt.end(AttemptResult.NotRun) }
+            response.endHandler { attempt.end(if (busy) AttemptResult.Busy else AttemptResult.NotRun) }
+            response.resume()
+            return
+        }
+        val headers = response
+            .headers()
+            .entries()
+            .map { it.key to it.value }
+            .filter { isForwarded(it.first) }
+        val sink = attempt.call.reply.begin(ResponseHead(response.statusCode(), headers))
+        attempt.headForwarded = sink != null
+        response.handler { part ->
+            if (sink != null) {
+                sink.write(part)
+                if (sink.isFull()) {
+                    response.pause()
+                    sink.whenWritable { response.resume() }
+                }
+            }
+        }
+        response.exceptionHandler {
+            sink?.abort()
+            attempt.end(if (attempt.leaseExpired) AttemptResult.TimedOut else AttemptResult.Truncated)
+        }
+        response.endHandler {
+            sink?.end()
+            attempt.end(AttemptResult.Complete(response.statusCode()))
+        }
+        response.resume()
+    }
+
+    private inner class Attempt(
+        val call: Call,
+        val reservation: Reservation,
+        private val ended: (AttemptEnd) -> Unit,
+    ) {
+        private val isEnded = AtomicBoolean()
+        private var timers = emptyList<Long>()
+
+        @Volatile
+        var headForwarded = false
+
+        @Volatile
+        var leaseExpired = false
+
+        fun startTimers(request: HttpClientRequest) {
+            val time = now()
+            timers =
+                listOf(
+                    timer(call.deadline - time) { reportDeadline() },
+                    timer(reservation.leaseUntil - time) {
+                        leaseExpired = true
+                        reportDeadline()
+                        request.reset()
+                        end(AttemptResult.TimedOut)
+                    },
+                )
+        }
+
+        fun end(result: AttemptResult) {
+            if (!isEnded.compareAndSet(false, true)) return
+            timers.forEach { vertx.cancelTimer(it) }
+            ended(AttemptEnd(result, headForwarded))
+        }
+
+        private fun reportDeadline() {
+            call.reply.refuse(
+                CallerRefusal(ResultCode.OutcomeUnknown, "no response before the deadline", Execution.Unknown),
+            )
+        }
+
+        private fun timer(delay: Duration, action: () -> Unit): Long =
+            vertx.setTimer(delay.inWholeMilliseconds.coerceAtLeast(1)) { action() }
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/dogwoodgrade/entry/EntryProgram.kt
@@ -0,0 +1,276 @@
+package dogwoodgrade.entry
+
+import dogwoodgrade.codec.RecordCodec
+import dogwoodgrade.codec.SnapshotCodec
+import dogwoodgrade.control.ControlBody
+import dogwoodgrade.control.ControlTable
+import dogwoodgrade.control.JoinedEntry
+import dogwoodgrade.control.SchemaVersions
+import dogwoodgrade.limits.PermitTable
+import dogwoodgrade.logclient.httpLogService
+import dogwoodgrade.membership.Introduction
+import dogwoodgrade.membership.MemberTable
+import dogwoodgrade.membership.PeerAddress
+import dogwoodgrade.model.EntryIdentity
+import dogwoodgrade.model.Outcome
+import dogwoodgrade.model.ResultCode
+import dogwoodgrade.peer.GrpcPeerClient
+import dogwoodgrade.peer.PeerHandlers
+import dogwoodgrade.peer.PeerServer
+import dogwoodgrade.peer.startPeerServer
+import dogwoodgrade.routing.EndpointTable
+import dogwoodgrade.routing.RetryBudgetTable
+import dogwoodgrade.shares.QueueSettings
+import dogwoodgrade.shares.QueueTable
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.vertx.core.Vertx
+import io.vertx.core.VertxOptions
+import io.vertx.core.http.HttpClientOptions
+import io.vertx.core.http.HttpServerOptions
+import io.vertx.core.http.PoolOptions
+import io.vertx.ext.web.client.WebClient
+import io.vertx.ext.web.client.WebClientOptions
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import java.io.IOException
+import java.util.concurrent.Executors
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val logger = KotlinLogging.logger {}
+
+/** Ports that the process listens on, for a process that was started with port 0. */
+internal data class ListeningPorts(val caller: Int, val peer: Int, val operator: Int)
+
+/** The entry process: wires the tables, the workers, the listeners and the loops. */
+internal class EntryProgram(private val settings: Settings) {
+    private val clock = MonotonicClock()
+    private val identity = EntryIdentity(settings.name, clock.now().toEpochMilliseconds())
+    private val vertx = Vertx.vertx(VertxOptions().setEventLoopPoolSize(EVENT_LOOPS).setWorkerPoolSize(1))
+    private val threads = Executors.newFixedThreadPool(settings.limits.workers)
+    private val scope = CoroutineScope(SupervisorJob() + threads.asCoroutineDispatcher())
+    private val freshness = FreshnessCell(clock.now())
+    private val metrics = Metrics()
+    private val workers = WorkerPool(settings.limits.workers, settings.limits.maximumRequests)
+    private val webClient = WebClient.create(vertx, WebClientOptions().setKeepAliveTimeout(KEEP_ALIVE_SECONDS))
+    private val log = httpLogService(webClient, settings.log.host, settings.log.port)
+    private val peerClient = GrpcPeerClient(now = clock::now)
+    private val folds = MutableStateFlow(0L)
+    private val zoneReturns = ZoneReturns()
+
+    @Volatile
+    private var stopping = false
+
+    private lateinit var peerServer: PeerServer
+    private lateinit var tables: EntryTables
+    private lateinit var loops: EntryLoops
+
+    /** Starts everything and returns the ports, or why a listener could not be opened. */
+    suspend fun start(): Outcome<ListeningPorts> {
+        when (
+            val started = startPeerServer(
+                settings.host,
+                settings.peerPort,
+                handlers(),
+                threads.asCoroutineDispatcher(),
+            )
+        ) {
+            is Outcome.Failure -> return started
+            is Outcome.Success -> peerServer = started.value
+        }
+        tables = newTables(PeerAddress(settings.host, peerServer.port))
+        val dispatcher = Dispatcher(settings, tables, freshness, dispatcherPorts())
+        return try {
+            val operatorPort = listen(operatorFront().router(vertx), settings.operatorPort)
+            loops = newLoops(operatorPort)
+            workers.start(scope, dispatcher::handle)
+            val callerPort = listen(callerFront().router(vertx, jobFront()::addTo), settings.callerPort)
+            loops.start()
+            Outcome.Success(ListeningPorts(callerPort, peerServer.port, operatorPort))
+        } catch (failure: IOException) {
+            Outcome.Failure(ResultCode.AddressInUse, "cannot listen on ${settings.host}: ${failure.message}")
+        }
+    }
+
+    private suspend fun listen(router: io.vertx.ext.web.Router, port: Int): Int =
+        vertx
+            .createHttpServer(HttpServerOptions().setHost(settings.host).setPort(port))
+            .requestHandler(router)
+            .listen()
+            .coAwait()
+            .actualPort()
+
+    private fun newTables(address: PeerAddress): EntryTables =
+        EntryTables(
+            control = ControlTable(RecordCodec::decode),
+            permits = PermitTable(identity),
+            queues = QueueTable(QueueSettings(settings.limits.queueBound)),
+            endpoints = EndpointTable(),
+            members = MemberTable(Introduction(identity, settings.zone, address), settings.peers),
+            budgets = RetryBudgetTable(),
+            requests = RequestTable(settings.limits.maximumRequests),
+        )
+
+    private fun newLoops(operatorPort: Int): EntryLoops {
+        val follower = LogFollower(log, peerClient.port, tables.control, freshness, clock::now, ::folded)
+        val proposer = Proposer(identity, log, tables.control) { awaitFold() }
+        val reporter = PermitReporter(tables, clock::now, proposer::append)
+        return EntryLoops(
+            scope = scope,
+            now = clock::now,
+            tables = tables,
+            freshness = freshness,
+            follower = follower,
+            reporter = reporter,
+            gossip = GossipLoop(tables, peerClient.port, follower, freshness, clock::now),
+            housekeeping = Housekeeping(identity, tables, log, peerClient.port, proposer::append, clock::now),
+            jobs = JobRunner(identity, tables, clock::now, workers::postArrival, proposer::propose),
+            proposer = proposer,
+            liveList = settings.liveList?.let { LiveListWatcher(webClient, it, tables, clock::now) },
+            joined =
+                JoinedEntry(
+                    identity,
+                    settings.zone,
+                    "${settings.host}:${peerServer.port}",
+                    "${settings.host}:$operatorPort",
+                    SchemaVersions.NEWEST,
+                ),
+            tick = { workers.post(EntryEvent.Tick) },
+        )
+    }
+
+    private fun dispatcherPorts(): DispatcherPorts {
+        val options = HttpClientOptions().setKeepAliveTimeout(KEEP_ALIVE_SECONDS).setPipelining(false)
+        val pool = PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_ENDPOINT)
+        val client = vertx
+            .httpClientBuilder()
+            .with(options)
+            .with(pool)
+            .build()
+        val endpointClient = EndpointClient(vertx, client, clock::now)
+        return DispatcherPorts(
+            now = clock::now,
+            random = Random(identity.incarnation),
+            send = endpointClient::send,
+            later = {
+                delay,
+                event,
+                ->
+                vertx.setTimer(delay.inWholeMilliseconds.coerceAtLeast(1)) { workers.post(event) }
+            },
+            post = workers::post,
+            demandChanged = { loops.reporter.planSoon() },
+            ended = metrics::ended,
+            started = metrics::started,
+        )
+    }
+
+    private fun callerFront(): CallerFront =
+        CallerFront(
+            settings.limits,
+            FrontPorts(
+                post = workers::postArrival,
+                left = { workers.post(EntryEvent.CallerLeft(it)) },
+                stopping = { stopping },
+                staleAge = { staleAge(freshness, clock.now()) },
+                refused = metrics::refusedEarly,
+            ),
+        )
+
+    private fun jobFront(): JobFront =
+        JobFront(
+            scope,
+            { tables.control.state },
+            { freshness.status(clock.now()) },
+            { stopping },
+            loops.proposer::propose,
+        )
+
+    private fun operatorFront(): OperatorFront =
+        OperatorFront(identity, settings, tables, freshness, metrics, { stopping }, clock::now)
+
+    private fun handlers(): PeerHandlers =
+        PeerHandlers(
+            exchange = { loops.gossip.answer(it) },
+            fetch = { request -> loops.gossip.fetch(request) { SnapshotCodec.encode(tables.control.state) } },
+            identify = { identity },
+        )
+
+    /** Passes a new folded state on to the tables, in order also when two paths deliver at once. */
+    @Synchronized
+    private fun folded() {
+        val now = clock.now()
+        val state = tables.control.state
+        val out =
+            state.configuration.zones.values
+                .filter { !it.inService }
+                .map { it.name }
+                .toSet()
+        tables.endpoints.configure(endpointConfigurationOf(state, zoneReturns.update(out, now)), now)
+        tables.queues.configure(sharesOf(state))
+        tables.permits.accept(state.offset, state.permits)
+        folds.value = state.offset.value
+        loops.reporter.planSoon()
+        workers.post(EntryEvent.Tick)
+    }
+
+    private suspend fun awaitFold() {
+        val seen = folds.value
+        folds.first { it > seen }
+    }
+
+    /**
+     * Stops gracefully: refuses new requests, lets waiting and running ones end, returns the permits and leaves. If
+     * work outlasts the limit of the settings, the process ends without leaving, and its permits are reclaimed on
+     * evidence after the task leases.
+     */
+    suspend fun stop() {
+        logger.info { "entry: stopping" }
+        stopping = true
+        tables.queues.close()
+        loops.jobs.stop()
+        tables.permits.beginShutdown()
+        loops.reporter.planSoon()
+        val quiet = await(settings.limits.shutdown) { tables.requests.size == 0 && loops.jobs.isIdle }
+        val returned = quiet && await(settings.limits.shutdown) { tables.permits.allReturned() }
+        if (returned && tables.control.state.isJoined(identity)) {
+            loops.proposer.propose(ControlBody.LeaveEntry(identity), LeaveTimeout)
+        }
+        logger.info { "entry: stopped, all work ended: $quiet, permits returned: $returned" }
+        scope.cancel()
+        vertx.close().coAwait()
+        peerClient.close()
+        peerServer.close()
+        threads.shutdown()
+    }
+
+    private suspend fun await(limit: Duration, condition: () -> Boolean): Boolean {
+        val end = clock.now() + limit
+        while (!condition()) {
+            if (clock.now() >= end) return false
+            loops.reporter.planSoon()
+            delay(StopPollInterval)
+        }
+        return true
+    }
+
+    private companion object {
+        const val EVENT_LOOPS = 2
+
+        /** Below the usual keep-alive time of servers, so that a request is not sent on a connection about to close. */
+        const val KEEP_ALIVE_SECONDS = 5
+
+        /** Above the connection part of an entry, which the endpoint table keeps to. */
+        const val MAX_CONNECTIONS_PER_ENDPOINT = 64
+        val LeaveTimeout: Duration = 3.seconds
+        val StopPollInterval: Duration = 50.milliseconds
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/dogwoodgrade/entry/GossipLoop.kt
@@ -0,0 +1,104 @@
+package dogwoodgrade.entry
+
+import dogwoodgrade.membership.GossipMessage
+import dogwoodgrade.membership.Liveness
+import dogwoodgrade.membership.LogContact
+import dogwoodgrade.membership.OwnReport
+import dogwoodgrade.membership.PeerAddress
+import dogwoodgrade.model.Outcome
+import dogwoodgrade.model.ResultCode
+import dogwoodgrade.model.flatMap
+import dogwoodgrade.model.valueOrNull
+import dogwoodgrade.peer.FetchAnswer
+import dogwoodgrade.peer.FetchContent
+import dogwoodgrade.peer.FetchRequest
+import dogwoodgrade.peer.PeerClient
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import kotlin.time.Duration
+import kotlin.time.Instant
+
+/**
+ * Exchanges state with other entries, and fetches configuration from peers that know more of the log.
+ */
+internal class GossipLoop(
+    private val tables: EntryTables,
+    private val peers: PeerClient,
+    private val follower: LogFollower,
+    private val freshness: FreshnessCell,
+    private val now: () -> Instant,
+) {
+    /** Publishes the own state and starts the exchanges of one round; called once a second. */
+    fun round(scope: CoroutineScope) {
+        val time = now()
+        val draining =
+            tables.control.state.configuration.instances.values
+                .filter { it.draining }
+                .map { it.name }
+        tables.members.tick(time, OwnReport(contact(), emptyMap(), tables.endpoints.ownLoad(time), draining.toSet()))
+        scope.launch { for (address in tables.members.planGossip(time)) exchange(address) }
+    }
+
+    /** Asks every live peer at once for what it knows of the log; called after a pause. */
+    fun verify(scope: CoroutineScope) {
+        val time = now()
+        val known = tables.members.members(time).filter { it.liveness != Liveness.Absent }
+        for (member in known) scope.launch { follower.fetchFrom(member.address) }
+    }
+
+    /** Answers an exchange that a peer has begun. */
+    fun answer(message: GossipMessage): Outcome<GossipMessage> {
+        val time = now()
+        val answer = tables.members.answer(time, message, contact())
+        learn(time)
+        return Outcome.Success(answer)
+    }
+
+    private suspend fun exchange(address: PeerAddress) {
+        val askedAt = now()
+        val request = tables.members.requestTo(askedAt, address) ?: return
+        val answer = peers.exchange(address, request).valueOrNull() ?: return
+        val time = now()
+        tables.members.acceptAnswer(time, address, answer)
+        learn(time)
+        val peer = answer.contact
+        if (peer.appliedOffset > tables.control.state.offset) {
+            follower.fetchFrom(address)
+        } else {
+            peer.age?.let { age -> freshness.update { it.confirmed(askedAt, age) } }
+        }
+    }
+
+    /** Passes what peers reported on to the tables that use it. */
+    private fun learn(time: Instant) {
+        for (member in tables.members.members(time)) {
+            if (member.liveness == Liveness.Absent) {
+                tables.queues.forget(member.identity, time)
+            } else {
+                val age = member.sinceProgress.coerceAtLeast(Duration.ZERO)
+                tables.endpoints.reportPeerLoad(member.identity, member.load, age, time)
+            }
+        }
+    }
+
+    private fun contact(): LogContact = freshness.contact(tables.control.state.offset, now())
+
+    /** Answers a peer that asks for records of the log. */
+    fun fetch(request: FetchRequest, encodeState: () -> ByteArray): Outcome<FetchAnswer> {
+        val records = tables.control.recordsFrom(request.from, request.maximumRecords, request.maximumBytes)
+        val content =
+            if (records != null) {
+                FetchContent.Records(records.map { it.data })
+            } else {
+                FetchContent.Snapshot(tables.control.state.offset, encodeState())
+            }
+        return Outcome.Success(FetchAnswer(content, contact())).flatMap { checked(it) }
+    }
+
+    private fun checked(answer: FetchAnswer): Outcome<FetchAnswer> =
+        if (answer.contact.appliedOffset.value == 0L) {
+            Outcome.Failure(ResultCode.Starting, "this entry has no configuration yet")
+        } else {
+            Outcome.Success(answer)
+        }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/dogwoodgrade/entry/LogFollower.kt
@@ -0,0 +1,149 @@
+package dogwoodgrade.entry
+
+import dogwoodgrade.codec.SnapshotCodec
+import dogwoodgrade.control.ControlTable
+import dogwoodgrade.control.RawRecord
+import dogwoodgrade.logclient.LogService
+import dogwoodgrade.logclient.ReadResult
+import dogwoodgrade.logclient.StoredRecord
+import dogwoodgrade.logclient.StreamName
+import dogwoodgrade.membership.PeerAddress
+import dogwoodgrade.model.Offset
+import dogwoodgrade.model.Outcome
+import dogwoodgrade.model.valueOrNull
+import dogwoodgrade.peer.FetchAnswer
+import dogwoodgrade.peer.FetchContent
+import dogwoodgrade.peer.FetchRequest
+import dogwoodgrade.peer.PeerClient
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.delay
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+private val logger = KotlinLogging.logger {}
+
+/**
+ * Keeps the folded state up to date: from the log, or from a peer while the log cannot be reached or a peer is ahead.
+ *
+ * @param changed called after the state has advanced
+ */
+internal class LogFollower(
+    private val log: LogService,
+    private val peers: PeerClient,
+    private val table: ControlTable,
+    private val freshness: FreshnessCell,
+    private val now: () -> Instant,
+    private val changed: () -> Unit,
+) {
+    @Volatile
+    private var logReachable = true
+
+    /** Reads the log until the coroutine is cancelled. */
+    suspend fun follow() {
+        while (true) {
+            val reached = readOnce()
+            if (reached != logReachable) {
+                logReachable = reached
+                if (reached) {
+                    logger.info {
+                        "follower: the log is reachable"
+                    }
+                } else {
+                    logger.warn { "follower: the log cannot be reached" }
+                }
+            }
+            if (!reached) delay(RetryPause)
+        }
+    }
+
+    /** Brings the state up to date from the newest snapshot and the tail of the log; used once at start. */
+    suspend fun bootstrap(): Boolean = installNewestSnapshot() && readOnce()
+
+    private suspend fun readOnce(): Boolean {
+        val from = table.state.offset
+        val askedAt = now()
+        return when (val result = log.read(StreamName.Control, from, READ_LIMIT, PollWait)) {
+            is ReadResult.Records -> {
+                fold(result.records)
+                // An empty long poll was answered after its wait, so the head is known as of the end of the wait.
+                val asOf = if (result.records.isEmpty()) minOf(askedAt + PollWait, now()) else askedAt
+                if (table.state.offset >= result.end) freshness.update { it.confirmed(asOf) }
+                true
+            }
+            is ReadResult.Dropped -> installNewestSnapshot()
+            is ReadResult.Unreachable -> false
+        }
+    }
+
+    private fun fold(records: List<StoredRecord>) {
+        if (records.isEmpty()) return
+        if (table.fold(records.map { RawRecord(it.offset, it.data) }) > 0) changed()
+    }
+
+    private suspend fun installNewestSnapshot(): Boolean {
+        val end = endOf(StreamName.Snapshots) ?: return false
+        if (end == Offset.Zero) return true
+        val last = log.read(StreamName.Snapshots, Offset(end.value - 1), 1, Duration.ZERO)
+        val data = (last as? ReadResult.Records)?.records?.firstOrNull()?.data ?: return false
+        when (val snapshot = SnapshotCodec.decode(data)) {
+            is Outcome.Failure -> {
+                logger.error { "follower: the newest snapshot cannot be used: ${snapshot.message}" }
+                return false
+            }
+            is Outcome.Success -> if (table.install(snapshot.value)) changed()
+        }
+        return true
+    }
+
+    private suspend fun endOf(stream: StreamName): Offset? =
+        when (val result = log.read(stream, Offset.Zero, 1, Duration.ZERO)) {
+            is ReadResult.Records -> result.end
+            is ReadResult.Dropped -> (log.read(stream, result.first, 1, Duration.ZERO) as? ReadResult.Records)?.end
+            is ReadResult.Unreachable -> null
+        }
+
+    /** Fetches what [address] has beyond the own state. Returns whether the peer answered. */
+    suspend fun fetchFrom(address: PeerAddress): Boolean {
+        while (true) {
+            val from = table.state.offset
+            val askedAt = now()
+            val answer =
+                peers.fetch(address, FetchRequest(from, READ_LIMIT, FETCH_BYTES)).valueOrNull() ?: return false
+            val advanced = take(answer.content, from)
+            confirm(answer, askedAt)
+            if (!advanced || table.state.offset >= answer.contact.appliedOffset) return true
+        }
+    }
+
+    private fun take(content: FetchContent, from: Offset): Boolean {
+        val advanced =
+            when (content) {
+                is FetchContent.Records ->
+                    table.fold(
+                        content.records.mapIndexed { index, data -> RawRecord(Offset(from.value + index), data) },
+                    ) > 0
+                is FetchContent.Snapshot -> SnapshotCodec.decode(content.state).valueOrNull()?.let(table::install)
+                    ?: false
+            }
+        if (advanced) changed()
+        return advanced
+    }
+
+    private fun confirm(answer: FetchAnswer, askedAt: Instant) {
+        val age = answer.contact.age ?: return
+        if (table.state.offset >= answer.contact.appliedOffset) freshness.update { it.confirmed(askedAt, age) }
+    }
+
+    private companion object {
+        const val READ_LIMIT = 500
+        const val FETCH_BYTES = 512 * 1024
+
+        /** Long poll of the log; also the age that a fresh contact reaches. */
+        val PollWait = 1.seconds
+
+        /** Pause after the log was not reached. */
+        val RetryPause = 250.milliseconds
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/dogwoodgrade/entry/MonotonicClock.kt
@@ -0,0 +1,18 @@
+package dogwoodgrade.entry
+
+import kotlin.time.Clock
+import kotlin.time.Instant
+import kotlin.time.TimeSource
+
+/**
+ * Current time that never jumps: the wall-clock time of the start plus the monotonic time since then.
+ *
+ * The monotonic time goes on while the process is stopped by a signal, so a pause shows as a gap between ticks.
+ */
+internal class MonotonicClock {
+    private val startedAt: Instant = Clock.System.now()
+    private val mark = TimeSource.Monotonic.markNow()
+
+    /** Returns the current time. */
+    fun now(): Instant = startedAt + mark.elapsedNow()
+}
--- /dev/null
+++ b/entry/src/main/kotlin/dogwoodgrade/entry/PermitReporter.kt
@@ -0,0 +1,47 @@
+package dogwoodgrade.entry
+
+import dogwoodgrade.control.ControlBody
+import dogwoodgrade.limits.AppendKnowledge
+import dogwoodgrade.logclient.AppendResult
+import kotlinx.coroutines.channels.Channel
+import kotlin.time.Instant
+
+/**
+ * Appends the permit reports that the permit table plans, one at a time.
+ *
+ * @param append appends a record once
+ */
+internal class PermitReporter(
+    private val tables: EntryTables,
+    private val now: () -> Instant,
+    private val append: suspend (ControlBody) -> AppendResult,
+) {
+    private val wake = Channel<Unit>(Channel.CONFLATED)
+
+    /** Asks for a new plan, for example because the demand has changed. */
+    fun planSoon() {
+        wake.trySend(Unit)
+    }
+
+    /** Plans and appends until the coroutine is cancelled. */
+    suspend fun run() {
+        while (true) {
+            wake.receive()
+            report()
+        }
+    }
+
+    private suspend fun report() {
+        val time = now()
+        val demand = tables.queues.demand().mapValues { (_, demand) -> demand.waiting + demand.running }
+        val live = tables.members.liveEntries(time).toSet()
+        val report = tables.permits.planReport(time, live, demand) ?: return
+        val knowledge =
+            when (append(ControlBody.ReportPermits(report))) {
+                is AppendResult.Appended -> AppendKnowledge.Appended
+                is AppendResult.Refused -> AppendKnowledge.NotAppended
+                is AppendResult.Unknown -> AppendKnowledge.Unknown
+            }
+        tables.permits.recordAppend(report.sequence, knowledge)
+    }
+}
--- /dev/null
+++ b/scenarios/src/test/kotlin/dogwoodgrade/scenarios/LimitUnderFaultsTest.kt
@@ -0,0 +1,131 @@
+package dogwoodgrade.scenarios
+
+import dogwoodgrade.configuration.ConfigurationChange.AddInstance
+import dogwoodgrade.configuration.ConfigurationChange.GiveKey
+import dogwoodgrade.configuration.ConfigurationChange.SetPool
+import dogwoodgrade.configuration.ConfigurationChange.SetTeam
+import dogwoodgrade.model.AvailabilityZone
+import dogwoodgrade.model.InstanceName
+import dogwoodgrade.model.KeyDigest
+import dogwoodgrade.model.PoolName
+import dogwoodgrade.model.RackName
+import dogwoodgrade.model.ServiceName
+import dogwoodgrade.model.TeamName
+import dogwoodgrade.model.Version
+import dogwoodgrade.model.WorkerName
+import kotlinx.serialization.json.int
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import org.junit.jupiter.api.io.TempDir
+import java.nio.file.Path
+import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
+import kotlin.random.Random
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Three zones with two entries each drive a team with an upper limit of 12, while one entry is killed, one is paused
+ * and one zone is cut off from the log and from the other zones. One endpoint process runs everything, so its count of
+ * running tasks is exact.
+ */
+class LimitUnderFaultsTest {
+    @TempDir
+    lateinit var folder: Path
+
+    private val fleet by lazy { Fleet(folder) }
+    private val stopped = AtomicBoolean()
+    private val answered = AtomicInteger()
+
+    @AfterTest
+    fun stop() {
+        stopped.set(true)
+        fleet.close()
+    }
+
+    private fun configure(endpoint: FleetEndpoint) {
+        fleet.publish(SetTeam(TeamName("granito"), 1, LIMIT, null, Version.None))
+        fleet.publish(GiveKey(TeamName("granito"), KeyDigest.of("secret")))
+        fleet.publish(SetPool(PoolName("pricing"), ServiceName("price"), 8, 64, 4.seconds, 1, 1, false, Version.None))
+        for ((index, zone) in listOf("a", "b", "c").withIndex()) {
+            fleet.publish(
+                AddInstance(
+                    InstanceName("i$index"),
+                    "127.0.0.1:${endpoint.port}",
+                    AvailabilityZone(zone),
+                    RackName("r$index"),
+                    WorkerName("w$index"),
+                    PoolName("pricing"),
+                ),
+            )
+        }
+    }
+
+    private fun load(entry: FleetEntry, seed: Int) {
+        repeat(CALLERS_PER_ENTRY) { caller ->
+            val random = Random(seed * 100 + caller)
+            thread(isDaemon = true) {
+                while (!stopped.get()) {
+                    val url = "${entry.caller}/price/x?run=${random.nextInt(50, 400)}"
+                    val result = HttpCalls.send("POST", url, "", mapOf("Authorization" to "Bearer secret"))
+                    if (result.status == 200) answered.incrementAndGet() else Thread.sleep(100)
+                }
+            }
+        }
+    }
+
+    private fun countOf(endpoint: FleetEndpoint, name: String): Int =
+        endpoint
+            .statistics()[name]
+            ?.jsonObject
+            ?.get("granito")
+            ?.jsonPrimitive
+            ?.int ?: 0
+
+    @Test
+    fun `the upper limit holds through a kill, a pause and a partition, and the whole limit comes back`() {
+        fleet.startLog()
+        val endpoint = fleet.startEndpoint(slots = 64)
+        val link = fleet.startLink(fleet.logPort)
+        val ports = List(6) { Fleet.freePort() }
+        val near = listOf("${ports[0]}@a", "${ports[1]}@a", "${ports[2]}@b", "${ports[3]}@b")
+        val far = listOf("${ports[4]}@c", "${ports[5]}@c")
+        // Zone c is never told of the others, so cutting its way to the log cuts it off from everything.
+        val killed = fleet.startEntry("entry-a1", "a", ports[0], peers = near)
+        fleet.startEntry("entry-a2", "a", ports[1], peers = near)
+        val paused = fleet.startEntry("entry-b1", "b", ports[2], peers = near)
+        fleet.startEntry("entry-b2", "b", ports[3], peers = near)
+        fleet.startEntry("entry-c1", "c", ports[4], log = link.port, peers = far)
+        fleet.startEntry("entry-c2", "c", ports[5], log = link.port, peers = far)
+        configure(endpoint)
+        Fleet.awaitTrue("entries have joined") {
+            fleet.entries.all { it.state()["joined"]?.jsonPrimitive?.content == "true" }
+        }
+        fleet.entries.forEachIndexed { index, entry -> load(entry, index) }
+        Fleet.awaitTrue("the whole limit is in use") { countOf(endpoint, "running") == LIMIT }
+
+        link.setCut(true)
+        paused.process.signal("STOP")
+        killed.process.signal("KILL")
+        val before = answered.get()
+        Thread.sleep(FAULT_MILLISECONDS)
+        assertTrue(answered.get() > before, "nothing was answered during the faults")
+        paused.process.signal("CONT")
+        link.setCut(false)
+        load(fleet.startEntry("entry-a1", "a", ports[0], peers = near), 7)
+        val healed = System.nanoTime()
+        Fleet.awaitTrue("the whole limit is in use again") { countOf(endpoint, "running") == LIMIT }
+        println("the whole limit was in use ${(System.nanoTime() - healed) / 1_000_000} ms after the faults")
+        assertEquals(LIMIT, countOf(endpoint, "largest"))
+    }
+
+    private companion object {
+        const val LIMIT = 12
+        const val CALLERS_PER_ENTRY = 8
+        const val FAULT_MILLISECONDS = 10_000L
+    }
+}
--- /dev/null
+++ b/scenarios/src/test/kotlin/dogwoodgrade/scenarios/RequestPathTest.kt
@@ -0,0 +1,106 @@
+package dogwoodgrade.scenarios
+
+import dogwoodgrade.configuration.ConfigurationChange.AddInstance
+import dogwoodgrade.configuration.ConfigurationChange.GiveKey
+import dogwoodgrade.configuration.ConfigurationChange.SetPool
+import dogwoodgrade.configuration.ConfigurationChange.SetTeam
+import dogwoodgrade.configuration.ConfigurationChange.WithdrawKey
+import dogwoodgrade.model.AvailabilityZone
+import dogwoodgrade.model.InstanceName
+import dogwoodgrade.model.KeyDigest
+import dogwoodgrade.model.PoolName
+import dogwoodgrade.model.RackName
+import dogwoodgrade.model.ResultCode
+import dogwoodgrade.model.ServiceName
+import dogwoodgrade.model.TeamName
+import dogwoodgrade.model.Version
+import dogwoodgrade.model.WorkerName
+import kotlinx.serialization.json.int
+import kotlinx.serialization.json.jsonPrimitive
+import org.junit.jupiter.api.io.TempDir
+import java.nio.file.Path
+import kotlin.test.AfterTest
+import kotlin.test.BeforeTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.seconds
+
+/** One entry process between a caller and an endpoint, over real sockets. */
+class RequestPathTest {
+    @TempDir
+    lateinit var folder: Path
+
+    private lateinit var fleet: Fleet
+    private lateinit var endpoint: FleetEndpoint
+    private val key = mapOf("Authorization" to "Bearer secret")
+
+    @BeforeTest
+    fun start() {
+        fleet = Fleet(folder)
+        fleet.startLog()
+        endpoint = fleet.startEndpoint()
+        fleet.startEntry("entry-a1", "a", limits = "maximumBodyBytes = 1000")
+        fleet.publish(SetTeam(TeamName("granito"), 1, 4, null, Version.None))
+        fleet.publish(GiveKey(TeamName("granito"), KeyDigest.of("secret")))
+        fleet.publish(SetPool(PoolName("pricing"), ServiceName("price"), 8, 64, 5.seconds, 1, 1, false, Version.None))
+        fleet.awaitOffset(addInstance("i1", endpoint.port))
+    }
+
+    @AfterTest
+    fun stop() = fleet.close()
+
+    private fun addInstance(name: String, port: Int, pool: String = "pricing"): Long =
+        fleet.publish(
+            AddInstance(
+                InstanceName(name),
+                "127.0.0.1:$port",
+                AvailabilityZone("a"),
+                RackName("r"),
+                WorkerName("w"),
+                PoolName(pool),
+            ),
+        )
+
+    private fun call(path: String, body: String = "", headers: Map<String, String> = key): CallResult =
+        HttpCalls.send("POST", fleet.entries.first().caller + path, body, headers)
+
+    private fun assertRefusal(code: ResultCode, result: CallResult, executed: String = "no") {
+        assertEquals(
+            code.httpStatus to code.number,
+            result.status to result.json["code"]?.jsonPrimitive?.int,
+            result.body,
+        )
+        assertEquals(executed, result.json["executed"]?.jsonPrimitive?.content)
+    }
+
+    @Test
+    fun `a request with a valid key is answered whole and others are refused with their number`() {
+        val answer = call("/price/crack?run=20", "plate", key + ("X-Request-Id" to "request-7"))
+        assertEquals(200, answer.status, answer.body)
+        assertEquals("plate", answer.json["body"]?.jsonPrimitive?.content)
+        assertEquals("request-7", answer.json["request"]?.jsonPrimitive?.content)
+        assertRefusal(ResultCode.MissingKey, call("/price/x", headers = emptyMap()))
+        assertRefusal(ResultCode.UnknownKey, call("/price/x", headers = mapOf("Authorization" to "Bearer wrong")))
+        assertRefusal(ResultCode.UnknownService, call("/nothing/x"))
+        assertRefusal(ResultCode.BodyTooLarge, call("/price/x", "x".repeat(2_000)))
+        assertRefusal(ResultCode.MalformedRequest, call("/price/x", headers = key + ("Dogwoodgrade-Class" to "soon")))
+    }
+
+    @Test
+    fun `a withdrawn key stops working`() {
+        assertEquals(200, call("/price/x").status)
+        fleet.awaitOffset(fleet.publish(WithdrawKey(TeamName("granito"), KeyDigest.of("secret"))))
+        assertRefusal(ResultCode.UnknownKey, call("/price/x"))
+    }
+
+    @Test
+    fun `an unreachable endpoint gives a refusal that is true and a broken answer is never shown as whole`() {
+        fleet.publish(SetPool(PoolName("lost"), ServiceName("lost"), 8, 64, 5.seconds, 1, 0, false, Version.None))
+        fleet.awaitOffset(addInstance("i2", Fleet.freePort(), "lost"))
+        assertRefusal(ResultCode.NoEndpoint, call("/lost/x"))
+        endpoint.setFault("cut")
+        assertEquals(0, call("/price/x?run=5").status)
+        endpoint.setFault("close")
+        assertRefusal(ResultCode.OutcomeUnknown, call("/price/x?run=5"), executed = "unknown")
+    }
+}
--- a/stand-ins/src/main/kotlin/dogwoodgrade/standins/Main.kt
+++ b/stand-ins/src/main/kotlin/dogwoodgrade/standins/Main.kt
@@ -1,5 +1,6 @@
 package dogwoodgrade.standins
 
+import dogwoodgrade.commandline.parseOrExit
 import io.vertx.core.Future
 import io.vertx.core.Vertx
 import kotlinx.cli.ArgParser
@@ -22,7 +23,7 @@
         ).default(0)
     val target by parser.option(ArgType.String, "target", description = "host:port that a link forwards to").default("")
     val control by parser.option(ArgType.Int, "control", description = "control port of a link").default(0)
-    parser.parse(arguments)
+    parser.parseOrExit(arguments)
     val vertx = Vertx.vertx()
     val started: Future<Int> =
         when (kind) {
