Check the availability budget for moves of unavailable instances

Change: the fold refuses to move a draining instance, and one that failed or whose zone is out of service into a pool without budget left. A usable instance may always move.

Conclusion: planned work cannot exceed a budget through a racing move.

--- a/configuration/src/main/kotlin/dogwoodgrade/configuration/ApplyChange.kt
+++ b/configuration/src/main/kotlin/dogwoodgrade/configuration/ApplyChange.kt
@@ -20,6 +20,7 @@
 import dogwoodgrade.model.ResultCode
 import dogwoodgrade.model.Version
 import dogwoodgrade.model.flatMap
+import dogwoodgrade.model.map
 import kotlin.time.Duration
 
 /**
@@ -144,7 +145,7 @@
                     ResultCode.InstanceInOtherPool,
                     "instance ${change.instance} is in pool ${instance.pool}, not in ${change.from}",
                 )
-            else -> Success(replacing(instance.copy(pool = change.to)))
+            else -> checkMove(instance, change.to).map { replacing(instance.copy(pool = change.to)) }
         }
     }
 
--- a/configuration/src/main/kotlin/dogwoodgrade/configuration/AvailabilityBudget.kt
+++ b/configuration/src/main/kotlin/dogwoodgrade/configuration/AvailabilityBudget.kt
@@ -35,6 +35,23 @@
     }
 }
 
+/**
+ * Tells whether [instance] may move to pool [to].
+ *
+ * A usable instance may always move. One that is unavailable counts against the budget of its new pool from then on;
+ * without this check a move that races with a drain would carry the pool above its budget.
+ */
+public fun ConfigurationState.checkMove(instance: Instance, to: PoolName): Outcome<Unit> =
+    when {
+        isUsable(instance) -> Success(Unit)
+        remainingBudget(to) > 0 && !instance.draining -> Success(Unit)
+        else ->
+            Failure(
+                ResultCode.BudgetExceeded,
+                "instance ${instance.name} is unavailable and pool $to has no budget for it",
+            )
+    }
+
 /** Returns how many more usable instances of [pool] may be taken out of use now; 0 or more. */
 public fun ConfigurationState.remainingBudget(pool: PoolName): Int {
     val budget = pools[pool]?.availabilityBudget ?: return 0
--- a/configuration/src/test/kotlin/dogwoodgrade/configuration/AvailabilityBudgetTest.kt
+++ b/configuration/src/test/kotlin/dogwoodgrade/configuration/AvailabilityBudgetTest.kt
@@ -1,6 +1,7 @@
 package dogwoodgrade.configuration
 
 import dogwoodgrade.configuration.ConfigurationChange.DrainInstance
+import dogwoodgrade.configuration.ConfigurationChange.MoveInstance
 import dogwoodgrade.configuration.ConfigurationChange.ObserveFailure
 import dogwoodgrade.configuration.ConfigurationChange.ObserveRecovery
 import dogwoodgrade.configuration.ConfigurationChange.RemoveInstance
@@ -64,6 +65,22 @@
         assertTrue(InstanceName("i1") !in removed.instances)
     }
 
+    @Test
+    fun `a move that races with a drain does not carry the new pool above its budget`() {
+        val move = MoveInstance(InstanceName("i1"), PoolName("p"), PoolName("spare"))
+        assertRefused(ResultCode.BudgetExceeded, state.accept(drain("i1")).apply(move))
+        val noBudget = state.accept(setPool("spare", budget = 0, base = 1)).accept(ObserveFailure(InstanceName("i1")))
+        assertRefused(ResultCode.BudgetExceeded, noBudget.apply(move))
+        assertEquals(
+            PoolName("spare"),
+            state
+                .accept(move)
+                .instances
+                .getValue(InstanceName("i1"))
+                .pool,
+        )
+    }
+
     @Test
     fun `only the wave that drains an instance returns it`() {
         val drained = state.accept(drain("i1"))
