Record failures that the live list shows

Cause: the design counts failed instances against availability budgets, but no entry recorded them; and a recorded failure took an endpoint out of routing, so a faulty list could have taken all of them.

Recorded failures no longer remove an endpoint from routing.

--- a/entry/src/main/kotlin/dogwoodgrade/entry/EndpointConfigurationOf.kt
+++ b/entry/src/main/kotlin/dogwoodgrade/entry/EndpointConfigurationOf.kt
@@ -9,7 +9,8 @@
 import kotlin.time.Instant
 
 /**
- * Returns what the folded [state] says about endpoints. Draining and failed instances get nothing new.
+ * Returns what the folded [state] says about endpoints. Draining instances get nothing new. Instances that are recorded
+ * as failed stay: the record comes from a lagging list, and the health of the endpoint decides at once.
  *
  * @param returned when each zone came back into service, as seen by this process
  */
@@ -21,7 +22,7 @@
     val entries = state.entries.size.coerceAtLeast(1)
     val endpoints =
         configuration.instances.values
-            .filter { !it.draining && !it.failed }
+            .filter { !it.draining }
             .mapNotNull { instance -> configuration.pools[instance.pool]?.let { endpointOf(instance, it, entries) } }
     val out = configuration.zones.values
         .filter { !it.inService }
--- a/entry/src/main/kotlin/dogwoodgrade/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/dogwoodgrade/entry/EntryProgram.kt
@@ -123,6 +123,7 @@
         val follower = LogFollower(log, peerClient.port, tables.control, freshness, clock::now, ::folded)
         val proposer = Proposer(identity, log, tables.control) { awaitFold() }
         val reporter = PermitReporter(tables, clock::now, proposer::append)
+        val failures = FailureReporter(identity.name, tables, proposer::append)
         return EntryLoops(
             scope = scope,
             now = clock::now,
@@ -134,7 +135,13 @@
             housekeeping = Housekeeping(identity, tables, log, peerClient.port, proposer::append, clock::now),
             jobs = JobRunner(identity, tables, clock::now, workers::postArrival, proposer::propose),
             proposer = proposer,
-            liveList = settings.liveList?.let { LiveListWatcher(webClient, it, tables, clock::now) },
+            liveList =
+                settings.liveList?.let { address ->
+                    LiveListWatcher(webClient, address, clock::now) { observation, now ->
+                        tables.endpoints.observeLive(observation, now)
+                        failures.observe(observation, now)
+                    }
+                },
             joined =
                 JoinedEntry(
                     identity,
--- /dev/null
+++ b/entry/src/main/kotlin/dogwoodgrade/entry/FailureReporter.kt
@@ -0,0 +1,37 @@
+package dogwoodgrade.entry
+
+import dogwoodgrade.control.ControlBody
+import dogwoodgrade.logclient.AppendResult
+import dogwoodgrade.maintenance.ListHistory
+import dogwoodgrade.maintenance.observeList
+import dogwoodgrade.membership.snapshotWriter
+import dogwoodgrade.model.EntryName
+import dogwoodgrade.routing.LiveObservation
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlin.time.Instant
+
+private val logger = KotlinLogging.logger {}
+
+/**
+ * Records failures and recoveries of instances that the live list shows, so that budgets count them. Every entry keeps
+ * a history; only the live entry with the lowest name appends, to spare the log. A duplicate is refused by the fold.
+ */
+internal class FailureReporter(
+    private val name: EntryName,
+    private val tables: EntryTables,
+    private val append: suspend (ControlBody) -> AppendResult,
+) {
+    private var history = ListHistory()
+
+    /** Takes one reading of the live list. */
+    suspend fun observe(observation: LiveObservation, now: Instant) {
+        val listed = observation.live + observation.leaving
+        val verdict = observeList(tables.control.state.configuration, history, listed, now)
+        history = verdict.history
+        if (snapshotWriter(name, tables.members.members(now)) != name) return
+        for (change in verdict.changes) {
+            logger.info { "live-list: $change" }
+            append(ControlBody.Configure(change))
+        }
+    }
+}
--- a/entry/src/main/kotlin/dogwoodgrade/entry/LiveListWatcher.kt
+++ b/entry/src/main/kotlin/dogwoodgrade/entry/LiveListWatcher.kt
@@ -21,8 +21,8 @@
 internal class LiveListWatcher(
     private val client: WebClient,
     private val address: PeerAddress,
-    private val tables: EntryTables,
     private val now: () -> Instant,
+    private val observe: suspend (LiveObservation, Instant) -> Unit,
 ) {
     private var reachable = true
 
@@ -34,7 +34,7 @@
                 reachable = observation != null
                 logger.info { "live-list: the list is ${if (reachable) "reachable" else "unreachable"}" }
             }
-            observation?.let { tables.endpoints.observeLive(it, now()) }
+            observation?.let { observe(it, now()) }
             delay(ReadInterval)
         }
     }
