Reconfigure endpoints and queues only when their input has changed

Cause: every folded record rebuilt the endpoint configuration of all instances, although permit reports, the most frequent records, change nothing but the ledger.

Change: the folded state is compared by reference part by part before it is passed on to the tables.

Figures: not measured yet at 8,000 instances; RequestPathTest passes.

--- a/configuration/src/main/kotlin/dogwoodgrade/configuration/ConfigurationState.kt
+++ b/configuration/src/main/kotlin/dogwoodgrade/configuration/ConfigurationState.kt
@@ -34,6 +34,10 @@
     /** Returns the pool that serves [service], or `null` if there is none. */
     public fun poolOf(service: ServiceName): Pool? = poolsByService[service]
 
+    /** Availability zones that operators have taken out of service. */
+    public val zonesOut: Set<AvailabilityZone>
+        get() = zones.values.filter { !it.inService }.mapTo(HashSet()) { it.name }
+
     /** Returns the instances of [pool]. */
     public fun instancesOf(pool: PoolName): List<Instance> = instances.values.filter { it.pool == pool }
 
--- a/entry/src/main/kotlin/dogwoodgrade/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/dogwoodgrade/entry/EntryProgram.kt
@@ -3,6 +3,7 @@
 import dogwoodgrade.codec.RecordCodec
 import dogwoodgrade.codec.SnapshotCodec
 import dogwoodgrade.control.ControlBody
+import dogwoodgrade.control.ControlState
 import dogwoodgrade.control.ControlTable
 import dogwoodgrade.control.JoinedEntry
 import dogwoodgrade.control.SchemaVersions
@@ -65,6 +66,7 @@
     private val peerClient = GrpcPeerClient(now = clock::now)
     private val folds = MutableStateFlow(0L)
     private val zoneReturns = ZoneReturns()
+    private var passedOn = ControlState.Empty
 
     @Volatile
     private var stopping = false
@@ -211,19 +213,22 @@
             identify = { identity },
         )
 
-    /** Passes a new folded state on to the tables, in order also when two paths deliver at once. */
+    /**
+     * Passes a new folded state on to the tables, in order also when two paths deliver at once. Permit reports are the
+     * most frequent records and change nothing but the ledger, so the rest is passed on only when it has changed.
+     */
     @Synchronized
     private fun folded() {
         val now = clock.now()
         val state = tables.control.state
-        val out =
-            state.configuration.zones.values
-                .filter { !it.inService }
-                .map { it.name }
-                .toSet()
-        tables.endpoints.configure(endpointConfigurationOf(state, zoneReturns.update(out, now)), now)
-        tables.queues.configure(sharesOf(state))
+        val last = passedOn
+        if (state.configuration !== last.configuration || state.entries !== last.entries) {
+            val out = state.configuration.zonesOut
+            tables.endpoints.configure(endpointConfigurationOf(state, zoneReturns.update(out, now)), now)
+        }
+        if (state.configuration.teams !== last.configuration.teams) tables.queues.configure(sharesOf(state))
         tables.permits.accept(state.offset, state.permits)
+        passedOn = state
         folds.value = state.offset.value
         loops.reporter.planSoon()
         workers.post(EntryEvent.Tick)
