--- a/configuration/src/main/kotlin/dogwoodgrade/configuration/ApplyChange.kt
+++ b/configuration/src/main/kotlin/dogwoodgrade/configuration/ApplyChange.kt
@@ -21,7 +21,6 @@
 import dogwoodgrade.model.Version
 import dogwoodgrade.model.flatMap
 import dogwoodgrade.model.map
-import kotlinx.collections.immutable.toPersistentHashMap
 import kotlin.time.Duration
 
 /**
@@ -69,13 +68,13 @@
         change.team !in teams -> Failure(ResultCode.UnknownTeam, "team ${change.team} does not exist")
         holder == change.team -> unchanged("key ${change.digest} is already given to team ${change.team}")
         holder != null -> Failure(ResultCode.KeyTaken, "key ${change.digest} is given to another team")
-        else -> Success(copy(keys = keys.toPersistentHashMap().put(change.digest, change.team)))
+        else -> Success(copy(keys = keys + (change.digest to change.team)))
     }
 }
 
 private fun ConfigurationState.withdrawKey(change: WithdrawKey): Outcome<ConfigurationState> =
     if (keys[change.digest] == change.team) {
-        Success(copy(keys = keys.toPersistentHashMap().remove(change.digest)))
+        Success(copy(keys = keys - change.digest))
     } else {
         unchanged("key ${change.digest} is not given to team ${change.team}")
     }
@@ -127,7 +126,7 @@
         else -> {
             val instance =
                 Instance(change.name, change.address, change.zone, change.rack, change.worker, change.pool)
-            Success(replacing(instance))
+            Success(copy(instances = instances + (instance.name to instance)))
         }
     }
 
@@ -172,7 +171,7 @@
 private fun ConfigurationState.removeInstance(change: RemoveInstance): Outcome<ConfigurationState> =
     withInstance(change.instance) { instance ->
         if (instance.draining || instance.failed) {
-            Success(copy(instances = instances.toPersistentHashMap().remove(instance.name)))
+            Success(copy(instances = instances - instance.name))
         } else {
             Failure(ResultCode.BudgetExceeded, "instance ${instance.name} is in use; drain it first")
         }
@@ -218,9 +217,8 @@
 ): Outcome<ConfigurationState> =
     instances[name]?.let(change) ?: Failure(ResultCode.UnknownInstance, "instance $name does not exist")
 
-/** Shares structure with the previous map; copying all of 8,000 instances would dominate the cost of a record. */
 private fun ConfigurationState.replacing(instance: Instance): ConfigurationState =
-    copy(instances = instances.toPersistentHashMap().put(instance.name, instance))
+    copy(instances = instances + (instance.name to instance))
 
 private fun versionConflict(item: String, base: Version, current: Version): Failure =
     Failure(ResultCode.VersionConflict, "$item is at version $current, the change was based on version $base")
