Publish slot time without decay in usage rows

Cause: gossip carries usage as a sum that only grows, but a row held decayed usage only. Change: UsageRow has slotTime, in milliseconds since the start of the entry. It stands still after a request that did not run, and survives the pruning of an idle account, so the published sum never falls. Conclusion: a peer can derive decayed usage and slots in use from the sum.

--- a/shares/src/main/kotlin/dogwoodgrade/shares/UsageMeter.kt
+++ b/shares/src/main/kotlin/dogwoodgrade/shares/UsageMeter.kt
@@ -25,6 +25,8 @@
 /** Rows below this usage, in slot-seconds, are left out of snapshots. */
 private const val NEGLIGIBLE_USAGE = 0.01
 
+private const val MILLISECONDS_PER_SECOND = 1_000
+
 /** Time constant of the reported slots in use; short tasks would make the number at one moment too noisy. */
 private val AveragingTime: Duration = 1.seconds
 
@@ -46,8 +48,9 @@
 }
 
 /** Own and reported use of one pool by one owner. */
-internal class UsageAccount {
+internal class UsageAccount(private var total: Double = 0.0) {
     private var ownUsage = 0.0
+    private var highestTotal = total
     private var recentUsage = 0.0
     private var ownAt: Instant? = null
     var ownRunning = 0
@@ -66,10 +69,20 @@
         }
             ?: 0.0
 
-    fun change(now: Instant, slots: Int, reserve: Int, refund: Double) {
+    /** Slot time without decay, in slot-seconds. After a refund it stands still instead of falling. */
+    fun ownTotal(now: Instant): Double {
+        highestTotal = max(highestTotal, totalAt(now))
+        return highestTotal
+    }
+
+    private fun totalAt(now: Instant): Double = total + ownRunning * (ownAt?.let { max(0.0, seconds(now - it)) } ?: 0.0)
+
+    /** Changes the slots in use, and takes back the time that one of them was [unused] until now. */
+    fun change(now: Instant, slots: Int, reserve: Int, unused: Duration = Duration.ZERO) {
         val time = maxOf(now, ownAt ?: now)
+        total = totalAt(time) - seconds(unused)
         recentUsage = ownSlots(time) * seconds(AveragingTime)
-        ownUsage = max(0.0, ownUsage(time) - refund)
+        ownUsage = max(0.0, ownUsage(time) - advance(0.0, 1.0, unused))
         ownAt = time
         ownRunning += slots
         ownReserve += reserve
@@ -106,12 +119,15 @@
     private data class AccountKey(val pool: PoolName, val owner: QueueOwner)
 
     private val pools = HashMap<PoolName, LinkedHashMap<QueueOwner, UsageAccount>>()
+
+    /** Totals of accounts that were pruned; published sums must not fall. */
+    private val prunedTotals = HashMap<AccountKey, Double>()
     private val reports = LinkedHashMap<EntryIdentity, Report>()
     private var sequence = 0L
 
     /** Notes that work of [owner] has started on a slot of [pool], on the urgent reserve if [onReserve]. */
     public fun start(pool: PoolName, owner: QueueOwner, onReserve: Boolean, now: Instant) {
-        account(pool, owner).change(now, 1, if (onReserve) 1 else 0, refund = 0.0)
+        account(pool, owner).change(now, 1, if (onReserve) 1 else 0)
     }
 
     /** Notes that work started at [startedAt] has left its slot; if it never [ran], its slot time is taken back. */
@@ -123,8 +139,8 @@
         ran: Boolean,
         now: Instant,
     ) {
-        val refund = if (ran) 0.0 else advance(0.0, 1.0, now - startedAt)
-        account(pool, owner).change(now, -1, if (onReserve) -1 else 0, refund)
+        val unused = if (ran) Duration.ZERO else (now - startedAt).coerceAtLeast(Duration.ZERO)
+        account(pool, owner).change(now, -1, if (onReserve) -1 else 0, unused)
     }
 
     /** Returns the fleet-wide recent usage of [pool] by [owner], in slot-seconds. */
@@ -137,7 +153,9 @@
             pools.flatMap { (pool, accounts) ->
                 accounts.map { (owner, account) ->
                     val usage = account.ownUsage(now)
-                    UsageRow(pool, owner, usage, account.ownSlots(now), account.ownReserve, waiting(pool, owner))
+                    val slotTime = (account.ownTotal(now) * MILLISECONDS_PER_SECOND).toLong()
+                    val lacking = waiting(pool, owner)
+                    UsageRow(pool, owner, usage, account.ownSlots(now), account.ownReserve, lacking, slotTime)
                 }
             }
         val kept = rows.filter { it.usage >= NEGLIGIBLE_USAGE || it.slots > NEGLIGIBLE_USAGE || it.waiting > 0 }
@@ -168,13 +186,19 @@
 
     /** Removes accounts of [pool] without recent use, except those that [keep] names, to bound the memory. */
     internal fun prune(pool: PoolName, now: Instant, keep: (QueueOwner) -> Boolean) {
-        pools[pool]?.entries?.removeIf { (owner, account) -> !keep(owner) && account.isNegligible(now) }
+        pools[pool]?.entries?.removeIf { (owner, account) ->
+            val pruned = !keep(owner) && account.isNegligible(now)
+            if (pruned) prunedTotals[AccountKey(pool, owner)] = account.ownTotal(now)
+            pruned
+        }
     }
 
     internal fun accounts(pool: PoolName): Map<QueueOwner, UsageAccount> = pools[pool].orEmpty()
 
     internal fun account(pool: PoolName, owner: QueueOwner): UsageAccount =
-        pools.getOrPut(pool) { LinkedHashMap() }.getOrPut(owner) { UsageAccount() }
+        pools.getOrPut(pool) { LinkedHashMap() }.getOrPut(owner) {
+            UsageAccount(prunedTotals.remove(AccountKey(pool, owner)) ?: 0.0)
+        }
 
     private fun recomputePeers(key: AccountKey, now: Instant) {
         var totals = PeerTotals(at = now)
--- a/shares/src/main/kotlin/dogwoodgrade/shares/UsageSnapshot.kt
+++ b/shares/src/main/kotlin/dogwoodgrade/shares/UsageSnapshot.kt
@@ -14,6 +14,8 @@
     public val reserve: Int,
     /** Waiting requests that lack a slot; requests that lack a permit are not counted. */
     public val waiting: Int,
+    /** Slot time since the entry started, without decay, in milliseconds; it never falls. 0 in reports of peers. */
+    public val slotTime: Long = 0,
 )
 
 /**
