Carry demand and the use of open queues in gossip cells

Cause: a peer could not rebuild the usage rows of a member: cells had no owner for open queues and no waiting requests or reserve, and recent usage was decayed from the time of arrival, which depends on the path of the message. Recent usage and slots in use are derived from the sum in heartbeats of the member; MemberView has the rows and the estimated time of the heartbeat in the own clock. peerUsage is replaced by these rows; its test checks the same sums, and now also the slots in use.

--- a/membership/src/main/kotlin/dogwoodgrade/membership/Cell.kt
+++ b/membership/src/main/kotlin/dogwoodgrade/membership/Cell.kt
@@ -6,15 +6,19 @@
 
 /** Meaning of one number that a member publishes. */
 public sealed interface CellName {
-    /** Slot time that [team] has used in [pool] through the member since it started. */
-    public data class Usage(public val pool: PoolName, public val team: TeamName) : CellName
+    /** Slot time that [team], or `null` for the open queues, has used in [pool] through the member since it started. */
+    public data class Usage(public val pool: PoolName, public val team: TeamName?) : CellName
+
+    /** Demand of [team], or `null` for the open queues, for [pool] at the member; see [Demand]. */
+    public data class Queue(public val pool: PoolName, public val team: TeamName?) : CellName
 
     /** Requests of the member in flight on the endpoint of [instance]. */
     public data class Load(public val instance: InstanceName) : CellName
 }
 
 /**
- * One published number. [value] counts requests for a load and units of [USAGE_UNIT_MILLISECONDS] for a usage.
+ * One published number. [value] counts requests for a load and units of [USAGE_UNIT_MILLISECONDS] for a usage, and is
+ * [Demand.toValue] for a queue.
  * [changedAt] and [namedAt] are heartbeats of the owner: the value and the name have not changed after them. In a copy
  * received from a peer they may be too large, which at worst repeats a cell in a message.
  */
@@ -48,7 +52,8 @@
 /** Estimated bytes of the name of a cell in a message, with tags and lengths. */
 internal fun CellName.estimatedBytes(): Int =
     when (this) {
-        is CellName.Usage -> pool.text.length + team.text.length + NAME_OVERHEAD_BYTES
+        is CellName.Usage -> pool.text.length + (team?.text?.length ?: 0) + NAME_OVERHEAD_BYTES
+        is CellName.Queue -> pool.text.length + (team?.text?.length ?: 0) + NAME_OVERHEAD_BYTES
         is CellName.Load -> instance.text.length + NAME_OVERHEAD_BYTES
     }
 
--- a/membership/src/main/kotlin/dogwoodgrade/membership/MemberTable.kt
+++ b/membership/src/main/kotlin/dogwoodgrade/membership/MemberTable.kt
@@ -7,6 +7,8 @@
 import kotlin.concurrent.withLock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
 /**
@@ -24,7 +26,10 @@
     private val settings: GossipSettings = GossipSettings(),
 ) {
     private class Member(var state: MemberState, var progressedAt: Instant) {
-        val usage = HashMap<CellName.Usage, RecentUsage>()
+        var usage: Map<CellName.Usage, RecentUsage> = emptyMap()
+
+        /** When the member is estimated to have started to count heartbeats, by the own clock. */
+        var origin: Instant = progressedAt - HeartbeatInterval * state.heartbeat.toDouble()
     }
 
     private val lock = ReentrantLock()
@@ -98,16 +103,6 @@
     public fun members(now: Instant): List<MemberView> =
         lock.withLock { members.values.map { viewOf(it, now) }.sortedBy { it.identity.name } }
 
-    /** Returns the recent usage of all other members, in slot milliseconds with exponential decay. */
-    public fun peerUsage(now: Instant): Map<CellName.Usage, Double> =
-        lock.withLock {
-            val sums = HashMap<CellName.Usage, Double>()
-            for (member in members.values) {
-                member.usage.forEach { (name, usage) -> sums.merge(name, usage.decayedTo(now), Double::plus) }
-            }
-            sums
-        }
-
     /** Returns the requests in flight of all other members that are not absent, per instance. */
     public fun peerLoad(now: Instant): Map<InstanceName, Int> =
         lock.withLock {
@@ -134,14 +129,23 @@
         val after = merge(before, delta) ?: return
         if (after === before) return
         val member = held ?: Member(after, now).also { members[after.introduction.identity.name] = it }
-        usageIncreases(before, after).forEach { (cell, increase) ->
-            member.usage[cell] = member.usage[cell]?.plus(increase, now) ?: RecentUsage(increase.toDouble(), now)
-        }
-        member.usage.values.removeIf { it.decayedTo(now) < NEGLIGIBLE_USAGE_MILLISECONDS }
+        member.usage = recentUsage(member.usage, before, after)
+        member.origin = originAfter(member, after, now)
         member.state = after
         member.progressedAt = now
     }
 
+    /**
+     * The message that took the least time says best when the member started. The estimate moves on by [OriginDrift]
+     * per heartbeat, because members tick a little late and may pause, and its age is bounded.
+     */
+    private fun originAfter(member: Member, after: MemberState, now: Instant): Instant {
+        val latest = now - HeartbeatInterval * after.heartbeat.toDouble()
+        val advance = (after.heartbeat - member.state.heartbeat).coerceAtLeast(0)
+        if (member.state.key != after.key) return latest
+        return minOf(latest, member.origin + OriginDrift * advance.toDouble()).coerceAtLeast(latest - LargestReportAge)
+    }
+
     /** Absent members are not passed on, so that a forgotten member does not return through a peer. */
     private fun changesFor(now: Instant, digest: Map<MemberKey, Long>, requester: MemberKey?): List<MemberDelta> {
         val ambiguous = ambiguousKeys()
@@ -211,6 +215,8 @@
             liveness = livenessOf(sinceProgress),
             sinceProgress = sinceProgress,
             load = loadOf(state),
+            uses = poolUses(state, member.usage),
+            takenAt = member.origin + HeartbeatInterval * state.heartbeat.toDouble(),
         )
     }
 
@@ -227,7 +233,10 @@
         /** Longer than the hour for which regions are partitioned, so that both sides keep their addresses. */
         val ForgottenAfter: Duration = 2.hours
 
-        /** Recent usage below this is dropped; it is far below one unit of published usage. */
-        const val NEGLIGIBLE_USAGE_MILLISECONDS = 1.0
+        /** By how much an estimated start moves per heartbeat. */
+        val OriginDrift: Duration = 20.milliseconds
+
+        /** Longest time that a report is assumed to have been on its way; gossip takes 4 rounds with 72 entries. */
+        val LargestReportAge: Duration = 4.seconds
     }
 }
--- a/membership/src/main/kotlin/dogwoodgrade/membership/OwnReport.kt
+++ b/membership/src/main/kotlin/dogwoodgrade/membership/OwnReport.kt
@@ -4,7 +4,8 @@
 
 /**
  * What an entry publishes about itself: its contact with the log, the slot time used through it since it started (in
- * milliseconds, a sum that never falls), and its requests in flight per instance (instances at 0 may be left out).
+ * milliseconds, a sum that never falls), its requests in flight per instance, and the demand per queue (instances and
+ * queues at 0 may be left out).
  * Instances in [watched], usually those that drain, are published at every change; other changes may wait.
  */
 public data class OwnReport(
@@ -12,6 +13,7 @@
     public val usage: Map<CellName.Usage, Long>,
     public val load: Map<InstanceName, Int>,
     public val watched: Set<InstanceName> = emptySet(),
+    public val demand: Map<CellName.Queue, Demand> = emptyMap(),
 )
 
 /**
@@ -31,10 +33,11 @@
     val values = HashMap<CellName, Long>()
     report.usage.forEach { (name, milliseconds) -> values[name] = milliseconds / USAGE_UNIT_MILLISECONDS }
     report.load.forEach { (instance, requests) -> values[CellName.Load(instance)] = requests.toLong() }
+    report.demand.forEach { (name, demand) -> values[name] = demand.toValue() }
     val indexes = HashMap<CellName, Int>()
     held.forEachIndexed { index, cell ->
         indexes[cell.name] = index
-        if (cell.name is CellName.Load) values.putIfAbsent(cell.name, 0)
+        if (cell.name !is CellName.Usage) values.putIfAbsent(cell.name, 0)
     }
     val moved =
         values
@@ -71,8 +74,8 @@
     Movement(name, index ?: Int.MAX_VALUE, if (index == null) 0 else held[index].value, value)
 
 private data class Movement(val name: CellName, val index: Int, val before: Long, val after: Long) {
-    /** A request that occupies a slot counts as much as the usage of one slot for one second. */
-    val size: Long get() = if (name is CellName.Load) abs(after - before) * LOAD_WEIGHT else abs(after - before)
+    /** A request that occupies a slot, or a step of a demand, counts as much as the usage of one slot for one second. */
+    val size: Long get() = if (name is CellName.Usage) abs(after - before) else abs(after - before) * LOAD_WEIGHT
 }
 
 private fun abs(value: Long): Long = if (value < 0) -value else value
--- a/peer/src/main/kotlin/dogwoodgrade/peer/GossipMapping.kt
+++ b/peer/src/main/kotlin/dogwoodgrade/peer/GossipMapping.kt
@@ -116,7 +116,8 @@
 private fun encodeName(name: CellName, position: Int): WireCellName {
     val wire = WireCellName.newBuilder().setPosition(position)
     when (name) {
-        is CellName.Usage -> wire.setPool(name.pool.text).setTeam(name.team.text)
+        is CellName.Usage -> wire.setPool(name.pool.text).setTeam(name.team?.text.orEmpty())
+        is CellName.Queue -> wire.setPool(name.pool.text).setTeam(name.team?.text.orEmpty()).setDemand(true)
         is CellName.Load -> wire.setInstance(name.instance.text)
     }
     return wire.build()
@@ -205,11 +206,12 @@
 
 private fun decodeName(wire: WireCellName): CellName? {
     if (wire.instance.isNotEmpty()) {
-        if (wire.pool.isNotEmpty() || wire.team.isNotEmpty()) return null
+        if (wire.pool.isNotEmpty() || wire.team.isNotEmpty() || wire.demand) return null
         return InstanceName.parseOrNull(wire.instance)?.let(CellName::Load)
     }
     val pool = PoolName.parseOrNull(wire.pool) ?: return null
-    return TeamName.parseOrNull(wire.team)?.let { CellName.Usage(pool, it) }
+    val team = if (wire.team.isEmpty()) null else TeamName.parseOrNull(wire.team) ?: return null
+    return if (wire.demand) CellName.Queue(pool, team) else CellName.Usage(pool, team)
 }
 
 private fun isComplete(cells: List<CellUpdate>): Boolean =
--- a/wire/src/main/java/dogwoodgrade/wire/PeerOuterClass.java
+++ b/wire/src/main/java/dogwoodgrade/wire/PeerOuterClass.java
@@ -89,24 +89,24 @@
       "\030\020 \003(\r\"q\n\020WireIntroduction\022\020\n\010position\030\001" +
       " \001(\r\022\014\n\004name\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\004\022" +
       "\014\n\004zone\030\004 \001(\t\022\014\n\004host\030\005 \001(\t\022\014\n\004port\030\006 \001(" +
-      "\r\"N\n\014WireCellName\022\020\n\010position\030\001 \001(\r\022\014\n\004p" +
+      "\r\"^\n\014WireCellName\022\020\n\010position\030\001 \001(\r\022\014\n\004p" +
       "ool\030\002 \001(\t\022\014\n\004team\030\003 \001(\t\022\020\n\010instance\030\004 \001(" +
-      "\t\"P\n\020WireFetchRequest\022\014\n\004from\030\001 \001(\004\022\027\n\017m" +
-      "aximum_records\030\002 \001(\r\022\025\n\rmaximum_bytes\030\003 " +
-      "\001(\r\"\202\001\n\017WireFetchAnswer\022\017\n\007records\030\001 \003(\014" +
-      "\0221\n\010snapshot\030\002 \001(\0132\037.dogwoodgrade.wire.W" +
-      "ireSnapshot\022\026\n\016applied_offset\030\003 \001(\004\022\023\n\013c" +
-      "ontact_age\030\004 \001(\004\"-\n\014WireSnapshot\022\016\n\006offs" +
-      "et\030\001 \001(\004\022\r\n\005state\030\002 \001(\014\"\025\n\023WireIdentifyR" +
-      "equest\"1\n\014WireIdentity\022\014\n\004name\030\001 \001(\t\022\023\n\013" +
-      "incarnation\030\002 \001(\0042\367\001\n\004Peer\022H\n\010Exchange\022\035" +
-      ".dogwoodgrade.wire.WireGossip\032\035.dogwoodg" +
-      "rade.wire.WireGossip\022P\n\005Fetch\022#.dogwoodg" +
-      "rade.wire.WireFetchRequest\032\".dogwoodgrad" +
-      "e.wire.WireFetchAnswer\022S\n\010Identify\022&.dog" +
-      "woodgrade.wire.WireIdentifyRequest\032\037.dog" +
-      "woodgrade.wire.WireIdentityB\025\n\021dogwoodgr" +
-      "ade.wireP\001b\006proto3"
+      "\t\022\016\n\006demand\030\005 \001(\010\"P\n\020WireFetchRequest\022\014\n" +
+      "\004from\030\001 \001(\004\022\027\n\017maximum_records\030\002 \001(\r\022\025\n\r" +
+      "maximum_bytes\030\003 \001(\r\"\202\001\n\017WireFetchAnswer\022" +
+      "\017\n\007records\030\001 \003(\014\0221\n\010snapshot\030\002 \001(\0132\037.dog" +
+      "woodgrade.wire.WireSnapshot\022\026\n\016applied_o" +
+      "ffset\030\003 \001(\004\022\023\n\013contact_age\030\004 \001(\004\"-\n\014Wire" +
+      "Snapshot\022\016\n\006offset\030\001 \001(\004\022\r\n\005state\030\002 \001(\014\"" +
+      "\025\n\023WireIdentifyRequest\"1\n\014WireIdentity\022\014" +
+      "\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\0042\367\001\n\004Pe" +
+      "er\022H\n\010Exchange\022\035.dogwoodgrade.wire.WireG" +
+      "ossip\032\035.dogwoodgrade.wire.WireGossip\022P\n\005" +
+      "Fetch\022#.dogwoodgrade.wire.WireFetchReque" +
+      "st\032\".dogwoodgrade.wire.WireFetchAnswer\022S" +
+      "\n\010Identify\022&.dogwoodgrade.wire.WireIdent" +
+      "ifyRequest\032\037.dogwoodgrade.wire.WireIdent" +
+      "ityB\025\n\021dogwoodgrade.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -129,7 +129,7 @@
     internal_static_dogwoodgrade_wire_WireCellName_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_dogwoodgrade_wire_WireCellName_descriptor,
-        new java.lang.String[] { "Position", "Pool", "Team", "Instance", });
+        new java.lang.String[] { "Position", "Pool", "Team", "Instance", "Demand", });
     internal_static_dogwoodgrade_wire_WireFetchRequest_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_dogwoodgrade_wire_WireFetchRequest_fieldAccessorTable = new
--- a/wire/src/main/java/dogwoodgrade/wire/WireCellName.java
+++ b/wire/src/main/java/dogwoodgrade/wire/WireCellName.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * The usage of a team in a pool, or the load of an endpoint.
+ * The usage or the demand of a team in a pool, or the load of an endpoint.
  * </pre>
  *
  * Protobuf type {@code dogwoodgrade.wire.WireCellName}
@@ -113,6 +113,10 @@
   @SuppressWarnings("serial")
   private volatile java.lang.Object team_ = "";
   /**
+   * <pre>
+   * Empty for the open queues.
+   * </pre>
+   *
    * <code>string team = 3;</code>
    * @return The team.
    */
@@ -130,6 +134,10 @@
     }
   }
   /**
+   * <pre>
+   * Empty for the open queues.
+   * </pre>
+   *
    * <code>string team = 3;</code>
    * @return The bytes for team.
    */
@@ -187,6 +195,21 @@
     }
   }
 
+  public static final int DEMAND_FIELD_NUMBER = 5;
+  private boolean demand_ = false;
+  /**
+   * <pre>
+   * Whether the cell is the demand instead of the usage of the team.
+   * </pre>
+   *
+   * <code>bool demand = 5;</code>
+   * @return The demand.
+   */
+  @java.lang.Override
+  public boolean getDemand() {
+    return demand_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -213,6 +236,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(instance_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 4, instance_);
     }
+    if (demand_ != false) {
+      output.writeBool(5, demand_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -230,6 +256,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(instance_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(4, instance_);
     }
+    if (demand_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(5, demand_);
+    }
     return size;
   }
   @java.lang.Override
@@ -262,6 +292,8 @@
         .equals(other.getTeam())) return false;
     if (!getInstance()
         .equals(other.getInstance())) return false;
+    if (getDemand()
+        != other.getDemand()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -281,6 +313,9 @@
     hash = (53 * hash) + getTeam().hashCode();
     hash = (37 * hash) + INSTANCE_FIELD_NUMBER;
     hash = (53 * hash) + getInstance().hashCode();
+    hash = (37 * hash) + DEMAND_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getDemand());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -380,7 +415,7 @@
   }
   /**
    * <pre>
-   * The usage of a team in a pool, or the load of an endpoint.
+   * The usage or the demand of a team in a pool, or the load of an endpoint.
    * </pre>
    *
    * Protobuf type {@code dogwoodgrade.wire.WireCellName}
@@ -420,6 +455,7 @@
       pool_ = "";
       team_ = "";
       instance_ = "";
+      demand_ = false;
       return this;
     }
 
@@ -465,6 +501,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.instance_ = instance_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.demand_ = demand_;
+      }
     }
 
     @java.lang.Override
@@ -497,6 +536,9 @@
         bitField0_ |= 0x00000008;
         onChanged();
       }
+      if (other.getDemand() != false) {
+        setDemand(other.getDemand());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -541,6 +583,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 34
+            case 40: {
+              demand_ = input.readBool();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -676,6 +723,10 @@
 
     private java.lang.Object team_ = "";
     /**
+     * <pre>
+     * Empty for the open queues.
+     * </pre>
+     *
      * <code>string team = 3;</code>
      * @return The team.
      */
@@ -692,6 +743,10 @@
       }
     }
     /**
+     * <pre>
+     * Empty for the open queues.
+     * </pre>
+     *
      * <code>string team = 3;</code>
      * @return The bytes for team.
      */
@@ -709,6 +764,10 @@
       }
     }
     /**
+     * <pre>
+     * Empty for the open queues.
+     * </pre>
+     *
      * <code>string team = 3;</code>
      * @param value The team to set.
      * @return This builder for chaining.
@@ -722,6 +781,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Empty for the open queues.
+     * </pre>
+     *
      * <code>string team = 3;</code>
      * @return This builder for chaining.
      */
@@ -732,6 +795,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Empty for the open queues.
+     * </pre>
+     *
      * <code>string team = 3;</code>
      * @param value The bytes for team to set.
      * @return This builder for chaining.
@@ -818,6 +885,50 @@
       return this;
     }
 
+    private boolean demand_ ;
+    /**
+     * <pre>
+     * Whether the cell is the demand instead of the usage of the team.
+     * </pre>
+     *
+     * <code>bool demand = 5;</code>
+     * @return The demand.
+     */
+    @java.lang.Override
+    public boolean getDemand() {
+      return demand_;
+    }
+    /**
+     * <pre>
+     * Whether the cell is the demand instead of the usage of the team.
+     * </pre>
+     *
+     * <code>bool demand = 5;</code>
+     * @param value The demand to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDemand(boolean value) {
+
+      demand_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the cell is the demand instead of the usage of the team.
+     * </pre>
+     *
+     * <code>bool demand = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDemand() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      demand_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:dogwoodgrade.wire.WireCellName)
   }
 
--- a/wire/src/main/java/dogwoodgrade/wire/WireCellNameOrBuilder.java
+++ b/wire/src/main/java/dogwoodgrade/wire/WireCellNameOrBuilder.java
@@ -33,11 +33,19 @@
       getPoolBytes();
 
   /**
+   * <pre>
+   * Empty for the open queues.
+   * </pre>
+   *
    * <code>string team = 3;</code>
    * @return The team.
    */
   java.lang.String getTeam();
   /**
+   * <pre>
+   * Empty for the open queues.
+   * </pre>
+   *
    * <code>string team = 3;</code>
    * @return The bytes for team.
    */
@@ -55,4 +63,14 @@
    */
   com.google.protobuf.ByteString
       getInstanceBytes();
+
+  /**
+   * <pre>
+   * Whether the cell is the demand instead of the usage of the team.
+   * </pre>
+   *
+   * <code>bool demand = 5;</code>
+   * @return The demand.
+   */
+  boolean getDemand();
 }
