--- a/entry/src/main/kotlin/dogwoodgrade/entry/GossipLoop.kt
+++ b/entry/src/main/kotlin/dogwoodgrade/entry/GossipLoop.kt
@@ -3,7 +3,6 @@
 import dogwoodgrade.membership.GossipMessage
 import dogwoodgrade.membership.Liveness
 import dogwoodgrade.membership.LogContact
-import dogwoodgrade.membership.OwnReport
 import dogwoodgrade.membership.PeerAddress
 import dogwoodgrade.model.Outcome
 import dogwoodgrade.model.ResultCode
@@ -28,6 +27,8 @@
     private val freshness: FreshnessCell,
     private val now: () -> Instant,
 ) {
+    private val usage = UsageExchange(tables.queues)
+
     /** Publishes the own state and starts the exchanges of one round; called once a second. */
     fun round(scope: CoroutineScope) {
         val time = now()
@@ -35,7 +36,8 @@
             tables.control.state.configuration.instances.values
                 .filter { it.draining }
                 .map { it.name }
-        tables.members.tick(time, OwnReport(contact(), emptyMap(), tables.endpoints.ownLoad(time), draining.toSet()))
+        val report = usage.ownReport(contact(), tables.endpoints.ownLoad(time), draining.toSet(), time)
+        tables.members.tick(time, report)
         scope.launch { for (address in tables.members.planGossip(time)) exchange(address) }
     }
 
@@ -71,13 +73,11 @@
 
     /** Passes what peers reported on to the tables that use it. */
     private fun learn(time: Instant) {
-        for (member in tables.members.members(time)) {
-            if (member.liveness == Liveness.Absent) {
-                tables.queues.forget(member.identity, time)
-            } else {
-                val age = member.sinceProgress.coerceAtLeast(Duration.ZERO)
-                tables.endpoints.reportPeerLoad(member.identity, member.load, age, time)
-            }
+        val members = tables.members.members(time)
+        usage.learn(members, time)
+        for (member in members.filter { it.liveness != Liveness.Absent }) {
+            val age = member.sinceProgress.coerceAtLeast(Duration.ZERO)
+            tables.endpoints.reportPeerLoad(member.identity, member.load, age, time)
         }
     }
 
