Keep responses that an endpoint sends twice from other callers

Cause: the entry kept connections to endpoints and matched responses by their order. A body that is ended by closing the connection was passed on as whole. An endpoint that closes connections after a response made the outcome of many following requests unknown.

Change: each attempt carries its number. Connections are used again only for endpoints that repeat it; others get a connection per attempt. A response with another number or request identifier, or without a marked end, counts as a failure before the head. After a kept connection was lost, its endpoint gets single connections for a minute. The endpoint stand-in repeats the number.

Conclusion: not promised for an endpoint that repeats the number of another request. The cost of a connection per attempt was not measured.

--- a/entry/src/main/kotlin/dogwoodgrade/entry/EndpointClient.kt
+++ b/entry/src/main/kotlin/dogwoodgrade/entry/EndpointClient.kt
@@ -8,13 +8,17 @@
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClient
+import io.vertx.core.http.HttpClientOptions
 import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpClientResponse
 import io.vertx.core.http.HttpMethod
+import io.vertx.core.http.PoolOptions
 import io.vertx.core.http.RequestOptions
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.time.Clock
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Instant
 
 /** Time within which a connection to an endpoint must be there. */
@@ -32,25 +36,63 @@
 /** How an attempt ended. [headForwarded] tells whether the caller has received a part of the response. */
 internal data class AttemptEnd(val result: AttemptResult, val headForwarded: Boolean)
 
+/** Header that numbers an attempt; an endpoint that repeats it in its responses gets several requests per connection. */
+private const val ATTEMPT_HEADER = "Dogwoodgrade-Attempt"
+
+private const val STATUS_NO_CONTENT = 204
+private const val STATUS_NOT_MODIFIED = 304
+
+/** Returns an HTTP client for endpoints; without [keepAlive] each connection carries one request. */
+internal fun endpointHttpClient(vertx: Vertx, keepAlive: Boolean, maximumConnections: Int): HttpClient =
+    vertx
+        .httpClientBuilder()
+        .with(
+            HttpClientOptions()
+                .setKeepAlive(keepAlive)
+                .setKeepAliveTimeout(KEEP_ALIVE_SECONDS)
+                .setPipelining(false),
+        ).with(PoolOptions().setHttp1MaxSize(maximumConnections))
+        .build()
+
+/** Below the usual keep-alive time of servers, so that a request is not sent on a connection about to close. */
+private const val KEEP_ALIVE_SECONDS = 5
+
 /**
- * Makes attempts at endpoints over HTTP/1.1 without pipelining: one request at a time on a connection, so a response
- * belongs to the request before it. A connection with an unfinished response is closed and never used again.
+ * Time without kept connections after one was lost before a response. A request that is written while the endpoint
+ * closes the connection has an unknown outcome, so an endpoint that closes connections early costs one request a minute.
+ */
+private val SingleAfterLoss: Duration = 1.minutes
+
+/**
+ * Makes attempts at endpoints over HTTP/1.1 without pipelining. A connection with an unfinished response is closed and
+ * never used again.
+ *
+ * HTTP/1.1 matches responses by their order alone: a response that an endpoint sends twice would be taken for the
+ * response to the next request on the connection, of another caller. So a connection is used again only for endpoints
+ * that repeat the number of the attempt in their responses, and a response there without the right number counts as a
+ * failure of the connection. Any other endpoint gets a connection per attempt.
  *
  * An attempt goes on after its caller has left or its deadline has passed, until the endpoint has answered or the task
  * lease has expired. Its response is then discarded. So the permit of the task is held for as long as the task may run.
  */
 internal class EndpointClient(
     private val vertx: Vertx,
-    private val client: HttpClient,
+    maximumConnections: Int,
     private val now: () -> Instant,
 ) {
+    private val keptConnections = endpointHttpClient(vertx, keepAlive = true, maximumConnections)
+    private val singleConnections = endpointHttpClient(vertx, keepAlive = false, maximumConnections)
+
+    /** Endpoints whose last response had the number of its attempt, with the time from which connections are kept. */
+    private val keptFrom = ConcurrentHashMap<String, Instant>()
+
     /**
      * Sends [call] to the endpoint of [reservation] and calls [ended] once. [mayStart] is asked after the connection is
      * there, right before the first byte.
      */
     fun send(call: Call, reservation: Reservation, mayStart: () -> Boolean, ended: (AttemptEnd) -> Unit) {
         val attempt = Attempt(call, reservation, ended)
-        val address = reservation.endpoint.address
+        val address = attempt.address
         val options =
             RequestOptions()
                 .setMethod(HttpMethod.valueOf(call.request.method))
@@ -58,6 +100,8 @@
                 .setPort(address.substringAfterLast(':').toInt())
                 .setURI(call.request.target)
                 .setConnectTimeout(CONNECT_TIMEOUT_MILLISECONDS)
+        attempt.isOnKeptConnection = keptFrom[address]?.let { now() >= it } == true
+        val client = if (attempt.isOnKeptConnection) keptConnections else singleConnections
         client.request(options).onComplete { opened ->
             when {
                 opened.failed() -> attempt.end(connectFailure(opened.cause()))
@@ -79,6 +123,7 @@
         attempt.startTimers(request)
         request.send(Buffer.buffer(call.request.body)).onComplete { answered ->
             if (answered.failed()) {
+                if (attempt.isOnKeptConnection) keptFrom[attempt.address] = now() + SingleAfterLoss
                 attempt.end(if (attempt.leaseExpired) AttemptResult.TimedOut else AttemptResult.FailedBeforeHead)
             } else {
                 receive(attempt, answered.result())
@@ -89,12 +134,36 @@
     private fun addHeaders(request: HttpClientRequest, call: Call, reservation: Reservation) {
         call.request.headers.forEach { (name, value) -> request.putHeader(name, value) }
         request.putHeader("X-Request-Id", call.request.identifier.text)
+        request.putHeader(ATTEMPT_HEADER, reservation.number.toString())
         call.team?.let { request.putHeader("Dogwoodgrade-Team", it.text) }
         val leaseUntil = Clock.System.now() + (reservation.leaseUntil - now())
         request.putHeader("Dogwoodgrade-Lease-Until", leaseUntil.toEpochMilliseconds().toString())
     }
 
+    /** Tells whether [response] is the one to [attempt] and has an end that can be told from a lost connection. */
+    private fun isAttributable(attempt: Attempt, response: HttpClientResponse): Boolean {
+        val number = response.getHeader(ATTEMPT_HEADER)
+        if (number == null) keptFrom.remove(attempt.address) else keptFrom.putIfAbsent(attempt.address, now())
+        val isOwn = if (number == null) !attempt.isOnKeptConnection else number == "${attempt.reservation.number}"
+        val identifier = response.getHeader("X-Request-Id")
+        val isOther = identifier != null && identifier != attempt.call.request.identifier.text
+        return isOwn && !isOther && hasEnd(attempt, response)
+    }
+
+    /** A body that only the end of the connection ends cannot be told from one that was cut. */
+    private fun hasEnd(attempt: Attempt, response: HttpClientResponse): Boolean =
+        response.getHeader("Content-Length") != null ||
+            response.getHeader("Transfer-Encoding")?.endsWith("chunked", ignoreCase = true) == true ||
+            attempt.call.request.method == "HEAD" ||
+            response.statusCode() == STATUS_NO_CONTENT ||
+            response.statusCode() == STATUS_NOT_MODIFIED
+
     private fun receive(attempt: Attempt, response: HttpClientResponse) {
+        if (!isAttributable(attempt, response)) {
+            response.request().connection().close()
+            attempt.end(AttemptResult.FailedBeforeHead)
+            return
+        }
         if (response.getHeader("Dogwoodgrade-Executed") == "no") {
             val busy = response.statusCode() == STATUS_UNAVAILABLE
             response.exceptionHandler { attempt.end(AttemptResult.NotRun) }
@@ -106,7 +175,7 @@
             .headers()
             .entries()
             .map { it.key to it.value }
-            .filter { isForwarded(it.first) }
+            .filter { isForwarded(it.first) && !it.first.equals(ATTEMPT_HEADER, ignoreCase = true) }
         val sink = attempt.call.reply.begin(ResponseHead(response.statusCode(), headers))
         attempt.headForwarded = sink != null
         response.handler { part ->
@@ -134,9 +203,13 @@
         val reservation: Reservation,
         private val ended: (AttemptEnd) -> Unit,
     ) {
+        val address: String get() = reservation.endpoint.address
         private val isEnded = AtomicBoolean()
         private var timers = emptyList<Long>()
 
+        @Volatile
+        var isOnKeptConnection = false
+
         @Volatile
         var headForwarded = false
 
--- a/entry/src/main/kotlin/dogwoodgrade/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/dogwoodgrade/entry/EntryProgram.kt
@@ -25,9 +25,7 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.vertx.core.Vertx
 import io.vertx.core.VertxOptions
-import io.vertx.core.http.HttpClientOptions
 import io.vertx.core.http.HttpServerOptions
-import io.vertx.core.http.PoolOptions
 import io.vertx.ext.web.client.WebClient
 import io.vertx.ext.web.client.WebClientOptions
 import io.vertx.kotlin.coroutines.coAwait
@@ -148,14 +146,7 @@
     }
 
     private fun dispatcherPorts(): DispatcherPorts {
-        val options = HttpClientOptions().setKeepAliveTimeout(KEEP_ALIVE_SECONDS).setPipelining(false)
-        val pool = PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_ENDPOINT)
-        val client = vertx
-            .httpClientBuilder()
-            .with(options)
-            .with(pool)
-            .build()
-        val endpointClient = EndpointClient(vertx, client, clock::now)
+        val endpointClient = EndpointClient(vertx, MAX_CONNECTIONS_PER_ENDPOINT, clock::now)
         return DispatcherPorts(
             now = clock::now,
             random = Random(identity.incarnation),
@@ -265,7 +256,7 @@
     private companion object {
         const val EVENT_LOOPS = 2
 
-        /** Below the usual keep-alive time of servers, so that a request is not sent on a connection about to close. */
+        /** Time after which idle connections to the platform are closed. */
         const val KEEP_ALIVE_SECONDS = 5
 
         /** Above the connection part of an entry, which the endpoint table keeps to. */
--- a/entry/src/main/kotlin/dogwoodgrade/entry/RequestHeaders.kt
+++ b/entry/src/main/kotlin/dogwoodgrade/entry/RequestHeaders.kt
@@ -30,6 +30,7 @@
         "dogwoodgrade-class",
         "dogwoodgrade-deadline-milliseconds",
         "dogwoodgrade-team",
+        "dogwoodgrade-attempt",
         "dogwoodgrade-lease-until",
     )
 
--- a/stand-ins/src/main/kotlin/dogwoodgrade/standins/EndpointStandIn.kt
+++ b/stand-ins/src/main/kotlin/dogwoodgrade/standins/EndpointStandIn.kt
@@ -39,7 +39,12 @@
             fault = bodyOf(context).getString("fault", "none")
             context.end()
         }
-        router.route().handler(::run)
+        router.route().handler { context ->
+            // Lets entries send several requests over one connection, see docs/interface.md.
+            val attempt = context.request().getHeader("Dogwoodgrade-Attempt")
+            if (attempt != null) context.response().putHeader("Dogwoodgrade-Attempt", attempt)
+            run(context)
+        }
         return vertx.createHttpServer().requestHandler(router).listen(port, "127.0.0.1")
     }
 
