Report a refused retry as unknown if an attempt may have run

Change: the refusal of a start takes the execution from the call. DispatcherTest covers the decisions of the dispatcher with fake ports in virtual time.

Before and after (mvn verify -pl entry -am -Dtest=DispatcherTest): before, "expected (1002 UnknownKey, Unknown) but was (1002 UnknownKey, No)"; after, 9 tests pass.

--- a/entry/src/main/kotlin/dogwoodgrade/entry/Dispatcher.kt
+++ b/entry/src/main/kotlin/dogwoodgrade/entry/Dispatcher.kt
@@ -156,7 +156,7 @@
         val state = tables.control.state
         val admission = admit(state, call.request, freshness.status(now))
         if (admission is Outcome.Failure) {
-            endUnsent(call, CallerRefusal(admission.code, admission.message), now)
+            endUnsent(call, CallerRefusal(admission.code, admission.message, executionOf(call)), now)
             return true
         }
         val pool = state.configuration.pools.getValue(call.pool)
