Add the operators' command line

Cause: operators had no program; changes were appended by test code only. An entry answers GET /loads with its requests in flight per instance, its heartbeat and its offset. Result code 2021 MaintenanceHalted (exit 29) is the end of a wave that exceeds its failure threshold.

--- a/entry/src/main/kotlin/dogwoodgrade/entry/OperatorFront.kt
+++ b/entry/src/main/kotlin/dogwoodgrade/entry/OperatorFront.kt
@@ -42,6 +42,7 @@
         router.get("/entries").handler { context -> context.json(describeEntries()) }
         router.get("/permits").handler { context -> context.json(describePermits()) }
         router.get("/endpoints").handler { context -> context.json(describeEndpoints()) }
+        router.get("/loads").handler { context -> context.json(describeLoads()) }
         return router
     }
 
@@ -128,4 +129,21 @@
             }
         return JsonObject().put("endpoints", JsonArray(rows))
     }
+
+    /** The own requests per instance, draining ones included; the offset is read first, so the counts are newer. */
+    private fun describeLoads(): JsonObject {
+        val state = tables.control.state
+        val time = now()
+        val loads = JsonObject()
+        for (instance in state.configuration.instances.keys) {
+            val drain = tables.endpoints.drainState(instance, time)
+            val count = drain.inFlight + if (drain.mayRunUntil == null) 0 else 1
+            if (count > 0) loads.put(instance.text, count)
+        }
+        return JsonObject()
+            .put("entry", identity.toString())
+            .put("heartbeat", tables.members.heartbeat)
+            .put("offset", state.offset.value)
+            .put("inFlight", loads)
+    }
 }
--- a/membership/src/main/kotlin/dogwoodgrade/membership/MemberTable.kt
+++ b/membership/src/main/kotlin/dogwoodgrade/membership/MemberTable.kt
@@ -38,6 +38,9 @@
     private var refreshCredit = 0
     private var refreshed = own.identity.name
 
+    /** The own heartbeat; 0 before the first tick. */
+    public val heartbeat: Long get() = lock.withLock { state?.heartbeat ?: 0 }
+
     /** Advances the own heartbeat and publishes [report]. Called once per second. */
     public fun tick(now: Instant, report: OwnReport): Unit =
         lock.withLock {
--- a/model/src/main/kotlin/dogwoodgrade/model/ResultCode.kt
+++ b/model/src/main/kotlin/dogwoodgrade/model/ResultCode.kt
@@ -54,6 +54,7 @@
     StateUnchanged(2018, 409, 26),
     EntryEnded(2019, 409, 27),
     NotConfirmed(2020, 0, 28),
+    MaintenanceHalted(2021, 0, 29),
 
     LogUnreachable(3001, 503, 30),
     LogAnswerLost(3002, 503, 31),
--- /dev/null
+++ b/operator/src/main/kotlin/dogwoodgrade/operator/Listings.kt
@@ -0,0 +1,143 @@
+package dogwoodgrade.operator
+
+import dogwoodgrade.codec.SnapshotCodec
+import dogwoodgrade.configuration.ConfigurationState
+import dogwoodgrade.control.ControlState
+import dogwoodgrade.control.JoinedEntry
+import dogwoodgrade.maintenance.WavePlan
+import dogwoodgrade.model.EntryIdentity
+import dogwoodgrade.model.Offset
+import kotlinx.serialization.json.JsonObject
+
+/** Returns the configuration as tables, keys as short digests. */
+internal fun configurationTables(state: ConfigurationState): List<Table> =
+    listOf(
+        Table(
+            "teams",
+            listOf("team", "share", "upperLimit", "refuseWhenStaleAfter", "keys", "version"),
+            state.teams.values.sortedBy { it.name }.map { team ->
+                val keys = state.keys
+                    .filterValues { it == team.name }
+                    .keys
+                    .map { "$it" }
+                    .sorted()
+                    .joinToString(",")
+                cells(team.name, team.share, team.upperLimit, team.refuseWhenStaleAfter ?: "-", keys, team.version)
+            },
+        ),
+        Table(
+            "pools",
+            listOf("pool", "service", "slots", "connections", "taskLease", "budget", "urgent", "open", "version"),
+            state.pools.values.sortedBy { it.name }.map {
+                cells(
+                    it.name,
+                    it.service,
+                    it.slotsPerEndpoint,
+                    it.connectionsPerEndpoint,
+                    it.taskLease,
+                    it.availabilityBudget,
+                    it.urgentReserve,
+                    it.open,
+                    it.version,
+                )
+            },
+        ),
+        Table(
+            "instances",
+            listOf("instance", "pool", "zone", "rack", "worker", "address", "wave", "failed", "maintainedAt"),
+            state.instances.values.sortedBy { it.name }.map {
+                cells(
+                    it.name,
+                    it.pool,
+                    it.zone,
+                    it.rack,
+                    it.worker,
+                    it.address,
+                    it.wave ?: "-",
+                    it.failed,
+                    it.maintainedAt ?: "-",
+                )
+            },
+        ),
+        Table(
+            "zones",
+            listOf("zone", "inService", "version"),
+            zonesOf(state).map { cells(it, state.isInService(it), state.versionOf(it)) },
+        ),
+        Table(
+            "documents",
+            listOf("document", "schema", "bytes", "version"),
+            state.documents.values.sortedWith(compareBy({ it.key.name }, { it.key.schemaVersion })).map {
+                cells(it.key.name, it.key.schemaVersion, it.content.encodeToByteArray().size, it.version)
+            },
+        ),
+    )
+
+private fun zonesOf(state: ConfigurationState) =
+    (state.zones.keys + state.instances.values.map { it.zone }).distinct().sorted()
+
+/** Returns offset, digest and counts of [state]. */
+internal fun stateTable(state: ControlState): Table {
+    val configuration = state.configuration
+    return Table(
+        "state",
+        listOf("offset", "digest", "teams", "keys", "pools", "instances", "draining", "failed", "jobs", "entries"),
+        listOf(
+            cells(
+                state.offset,
+                SnapshotCodec.digest(state),
+                configuration.teams.size,
+                configuration.keys.size,
+                configuration.pools.size,
+                configuration.instances.size,
+                configuration.instances.values.count { it.draining },
+                configuration.instances.values.count { it.failed },
+                state.jobs.unfinished.size,
+                state.entries.size,
+            ),
+        ),
+    )
+}
+
+/**
+ * Returns what each joined entry reports of itself, and whether it has folded the state at [offset].
+ *
+ * @param answers answers to `/state`
+ * @param seen rows of `/entries` by entry, as a peer sees them; used for the liveness
+ */
+internal fun entriesTable(
+    entries: Collection<JoinedEntry>,
+    offset: Offset,
+    answers: Map<EntryIdentity, JsonObject?>,
+    seen: Map<String, JsonObject>,
+): Table =
+    Table(
+        "entries",
+        listOf("entry", "zone", "operatorAddress", "offset", "confirmed", "contactAge", "liveness", "freshness"),
+        entries.sortedBy { it.identity }.map { entry ->
+            val answer = answers[entry.identity]
+            val gossip = seen[entry.identity.toString()]
+            val own = answer ?: gossip
+            val applied = own?.let { longIn(it, "offset") }
+            cells(
+                entry.identity,
+                entry.zone,
+                entry.operatorAddress,
+                applied ?: "-",
+                applied != null && applied >= offset.value,
+                own?.let { textIn(it, "contactAgeSeconds") } ?: "-",
+                if (answer != null) "answers" else gossip?.let { textIn(it, "liveness") } ?: "unknown",
+                answer?.let { textIn(it, "freshness") } ?: "unknown",
+            )
+        },
+    )
+
+/** Returns the drains of [plan] and what blocks pools. */
+internal fun planTables(plan: WavePlan): List<Table> =
+    listOf(
+        Table("drains", listOf("instance", "wave"), plan.drains.map { cells(it.instance, it.wave) }),
+        Table("blocked", listOf("pool", "reason"), plan.blocked.map { (pool, reason) -> cells(pool, reason) }),
+        Table("remaining", listOf("instances"), listOf(cells(plan.remaining))),
+    )
+
+internal fun cells(vararg values: Any): List<String> = values.map { it.toString() }
