--- /dev/null
+++ b/scenarios/src/main/kotlin/dogwoodgrade/scenarios/Demonstration.kt
@@ -0,0 +1,116 @@
+package dogwoodgrade.scenarios
+
+import dogwoodgrade.operator.operate
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlin.time.TimeSource
+
+/** Prints outcomes with their times and counts those that are not as expected. */
+public class OutcomeLog(private val print: (String) -> Unit) {
+    private val start = TimeSource.Monotonic.markNow()
+
+    /** Outcomes that were not as expected. */
+    public var failures: Int = 0
+        private set
+
+    /** Prints one outcome. */
+    public fun report(expected: Boolean, text: String) {
+        if (!expected) failures++
+        val seconds = start.elapsedNow().inWholeMilliseconds / 1000.0
+        print("%6.1f s  %-4s  %s".format(seconds, if (expected) "ok" else "FAIL", text))
+    }
+}
+
+/** The processes of the demonstration: a log service, a live list, two zones with two entries and two endpoints each. */
+public class Demonstration(private val folder: Path, private val print: (String) -> Unit) : AutoCloseable {
+    /** The processes. */
+    public val fleet: Fleet = Fleet(folder)
+
+    /** Endpoints by the name of their instance. */
+    public val endpoints: MutableMap<String, FleetEndpoint> = mutableMapOf()
+
+    private val peerPorts: Map<String, Int> =
+        listOf("entry-a1", "entry-a2", "entry-b1", "entry-b2").associateWith { Fleet.freePort() }
+
+    /** Starts everything and publishes the configuration with the operator program. */
+    public fun start() {
+        fleet.startLog()
+        fleet.startLiveList()
+        listOf("a1", "a2", "b1", "b2").forEach { endpoints[it] = fleet.startEndpoint() }
+        fleet.setLive(endpoints.keys.associateWith { "live" })
+        peerPorts.keys.forEach(::startEntry)
+        publish()
+        fleet.awaitJoined()
+    }
+
+    private fun startEntry(name: String) {
+        val peers = peerPorts.filterKeys { it != name }.map { (peer, port) -> "$port@${zoneOf(peer)}" }
+        fleet.startEntry(name, zoneOf(name), peerPorts.getValue(name), peers = peers.map { it.substringBefore('@') })
+    }
+
+    private fun zoneOf(entry: String): String = entry.substringAfter('-').take(1)
+
+    private fun publish() {
+        val instances =
+            endpoints.entries.joinToString("\n") { (name, endpoint) ->
+                """
+                |[[instances]]
+                |name = "$name"
+                |address = "127.0.0.1:${endpoint.port}"
+                |zone = "${name.take(1)}"
+                |rack = "rack-${name.take(1)}"
+                |worker = "worker-$name"
+                |pool = "pricing"
+                """.trimMargin()
+            }
+        val file = folder.resolve("fleet.toml")
+        Files.writeString(file, "$FIXED_CONFIGURATION\n$instances\n")
+        check(operator("publish", file.toString()) == 0) { "the configuration was not accepted" }
+        check(operator("give-key", TEAM, "--key", KEY) == 0) { "the key was not accepted" }
+    }
+
+    /** Runs an operator command, prints it with its output and returns its exit status. */
+    public fun operator(vararg arguments: String): Int {
+        print("          \$ operator ${arguments.joinToString(" ").replace("$folder/", "")}")
+        val line = arrayOf(*arguments, "--log", "127.0.0.1:${fleet.logPort}", "--proposer", "demo")
+        return operate(line) { output -> output.lines().forEach { print("          $it") } }
+    }
+
+    /** Starts a request to [entry] that runs for [milliseconds]. */
+    public fun call(entry: FleetEntry, milliseconds: Int, path: String = "/price/crack", key: String = KEY) =
+        HttpCalls.sendLater("POST", "${entry.caller}$path?run=$milliseconds", "plate", authorization(key))
+
+    /** Returns the header with [key]. */
+    public fun authorization(key: String = KEY): Map<String, String> = mapOf("Authorization" to "Bearer $key")
+
+    /** Returns the entries that run. */
+    public fun running(): List<FleetEntry> = fleet.entries.filter { it.process.isAlive }
+
+    override fun close(): Unit = fleet.close()
+
+    public companion object {
+        /** Team of the demonstration. */
+        public const val TEAM: String = "granito"
+
+        /** Key of the team. */
+        public const val KEY: String = "demonstration-key"
+
+        /** Upper limit of the team. */
+        public const val LIMIT: Int = 8
+
+        private const val FIXED_CONFIGURATION = """
+[[teams]]
+name = "granito"
+share = 3
+upperLimit = 8
+
+[[pools]]
+name = "pricing"
+service = "price"
+slots = 8
+taskLeaseMilliseconds = 10000
+budget = 1
+urgentReserve = 1
+"""
+    }
+}
