--- /dev/null
+++ b/load/src/main/kotlin/dogwoodgrade/load/ControlCost.kt
@@ -0,0 +1,152 @@
+package dogwoodgrade.load
+
+import dogwoodgrade.scenarios.FleetEntry
+import dogwoodgrade.scenarios.HttpCalls
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.long
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.concurrent.CompletableFuture
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.nanoseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
+
+private const val SETTLE_MILLISECONDS = 5_000L
+private const val CHANGE_PAUSE_MILLISECONDS = 100L
+private const val POLL_MILLISECONDS = 2L
+private const val MAX_TEAMS = 350
+private const val MAX_POOLS = 209
+
+/** Options of `control-cost`. */
+internal data class ControlCostOptions(
+    val entries: List<Int>,
+    val time: Duration,
+    val changes: Int,
+    val entryOptions: List<String>,
+)
+
+/** Measures what control costs an entry that has no requests, and how fast changes spread, with real processes. */
+internal class ControlCost(private val options: ControlCostOptions, private val folder: Path) {
+    private data class Cost(val processor: Spread, val log: Spread, val gossip: Spread, val appends: Double)
+
+    /** Runs all parts and prints their tables. */
+    fun run() {
+        println("control-cost: load average ${ProcessCost.loadAverage()}, ${options.time} per row, no requests")
+        println("per entry: processor time in ms per s, payload bytes per s sent and received at the sockets")
+        for (size in options.entries) {
+            ControlFleet(Files.createDirectories(folder.resolve("entries-$size")), size, options.entryOptions).use {
+                measure(it, size)
+            }
+        }
+    }
+
+    private fun measure(fleet: ControlFleet, size: Int) {
+        fleet.addTeams(1..6)
+        fleet.addPools(1..5)
+        row(fleet, "$size entries, 6 teams, 5 pools")
+        row(fleet, "$size entries, 6 teams, 5 pools, 10 changes/s", changesPerSecond = 10)
+        row(fleet, "$size entries, 6 teams, 5 pools, 40 changes/s", changesPerSecond = 40)
+        if (size != options.entries.last()) return
+        fleet.addTeams(7..MAX_TEAMS)
+        row(fleet, "$size entries, $MAX_TEAMS teams, 5 pools")
+        fleet.addPools(6..MAX_POOLS)
+        row(fleet, "$size entries, $MAX_TEAMS teams, $MAX_POOLS pools")
+        row(fleet, "$size entries, $MAX_TEAMS teams, $MAX_POOLS pools, 10 changes/s", changesPerSecond = 10)
+        println(
+            "resident memory MB ${Spread.of(
+                fleet.entries.map { ProcessCost.residentMegabytes(it.process.pid) },
+            ).format(0)}",
+        )
+        propagation(fleet, "log at every entry")
+        fleet.links.forEach { it.setCut(true) }
+        Thread.sleep(SETTLE_MILLISECONDS)
+        propagation(fleet, "log cut off at every second entry")
+    }
+
+    private fun row(fleet: ControlFleet, name: String, changesPerSecond: Int = 0) {
+        Thread.sleep(SETTLE_MILLISECONDS)
+        val cost = costOf(fleet, changesPerSecond)
+        println(
+            "  %-52s processor %s  log B/s %s  peers B/s %s  appends/s %.1f  load average %s".format(
+                name,
+                cost.processor.format(1),
+                cost.log.format(0),
+                cost.gossip.format(0),
+                cost.appends,
+                ProcessCost.loadAverage(),
+            ),
+        )
+    }
+
+    private fun costOf(fleet: ControlFleet, changesPerSecond: Int): Cost {
+        val pids = fleet.entries.map { it.process.pid }
+        val begin = System.nanoTime()
+        val processor = pids.map(ProcessCost::processorTime)
+        val log = SocketBytes.perProcess(fleet.logPorts)
+        val gossip = SocketBytes.perProcess(fleet.gossipPorts)
+        val appends = fleet.appends()
+        waitAndChange(fleet, begin, changesPerSecond)
+        val seconds = (System.nanoTime() - begin).nanoseconds.toDouble(DurationUnit.SECONDS)
+        val used = pids.zip(processor) { pid, before -> ProcessCost.processorTime(pid) - before }
+        return Cost(
+            Spread.of(used.map { it.toDouble(DurationUnit.MILLISECONDS) / seconds }),
+            traffic(pids, log, SocketBytes.perProcess(fleet.logPorts), seconds),
+            traffic(pids, gossip, SocketBytes.perProcess(fleet.gossipPorts), seconds),
+            (fleet.appends() - appends) / seconds,
+        )
+    }
+
+    private fun waitAndChange(fleet: ControlFleet, begin: Long, changesPerSecond: Int) {
+        val end = begin + options.time.inWholeNanoseconds
+        val pause = if (changesPerSecond == 0) options.time else 1.seconds / changesPerSecond
+        var next = begin
+        while (System.nanoTime() < end) {
+            if (changesPerSecond > 0) fleet.publishChange()
+            next += pause.inWholeNanoseconds
+            val left = (minOf(next, end) - System.nanoTime()).nanoseconds.inWholeMilliseconds
+            if (left > 0) Thread.sleep(left)
+        }
+    }
+
+    private fun traffic(
+        pids: List<Long>,
+        before: Map<Long, TrafficCount>,
+        after: Map<Long, TrafficCount>,
+        seconds: Double,
+    ): Spread {
+        val none = TrafficCount(0, 0)
+        return Spread.of(
+            pids.map { pid ->
+                val bytes = (after[pid] ?: none) - (before[pid] ?: none)
+                (bytes.sent + bytes.received) / seconds
+            },
+        )
+    }
+
+    /** The time starts when the log service has answered the append; entries are asked every few milliseconds. */
+    private fun propagation(fleet: ControlFleet, name: String) {
+        val result = LoadResult()
+        val begin = System.nanoTime()
+        repeat(options.changes) {
+            val offset = fleet.publishChange()
+            val accepted = System.nanoTime()
+            fleet.entries
+                .map { entry ->
+                    CompletableFuture.runAsync { awaitOffset(entry, offset) }
+                }.forEach { it.join() }
+            result.success(System.nanoTime() - accepted)
+            Thread.sleep(CHANGE_PAUSE_MILLISECONDS)
+        }
+        result.elapsed = (System.nanoTime() - begin).nanoseconds
+        println("propagation to the last of ${fleet.entries.size}, $name: $result, ${ProcessCost.loadAverage()}")
+    }
+
+    private fun awaitOffset(entry: FleetEntry, offset: Long) {
+        while (appliedOffset(entry) <= offset) Thread.sleep(POLL_MILLISECONDS)
+    }
+
+    /** `/entries` has the offset too and, unlike `/state`, computes no digest. */
+    private fun appliedOffset(entry: FleetEntry): Long =
+        HttpCalls.send("GET", "${entry.operator}/entries").json["offset"]?.jsonPrimitive?.long ?: 0
+}
--- /dev/null
+++ b/load/src/main/kotlin/dogwoodgrade/load/ControlFleet.kt
@@ -0,0 +1,106 @@
+package dogwoodgrade.load
+
+import dogwoodgrade.configuration.ConfigurationChange.GiveKey
+import dogwoodgrade.configuration.ConfigurationChange.SetPool
+import dogwoodgrade.configuration.ConfigurationChange.SetTeam
+import dogwoodgrade.model.KeyDigest
+import dogwoodgrade.model.PoolName
+import dogwoodgrade.model.ServiceName
+import dogwoodgrade.model.TeamName
+import dogwoodgrade.model.Version
+import dogwoodgrade.scenarios.Fleet
+import dogwoodgrade.scenarios.FleetEntry
+import dogwoodgrade.scenarios.FleetLink
+import dogwoodgrade.scenarios.HttpCalls
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.long
+import java.nio.file.Path
+import kotlin.time.Duration.Companion.seconds
+
+private val Zones = listOf("a", "b", "c")
+
+/** Entries over three zones with one log service; every second entry reaches the log through a link of its own. */
+internal class ControlFleet(folder: Path, size: Int, entryOptions: List<String>) : AutoCloseable {
+    private val fleet = Fleet(folder, entryOptions)
+    private val peerPorts = List(size) { Fleet.freePort() }
+    private var documents = 0
+
+    /** Links between entries and the log service. */
+    val links = mutableListOf<FleetLink>()
+
+    /** The entries, in order. */
+    val entries: List<FleetEntry>
+
+    init {
+        fleet.startLog()
+        val peers = peerPorts.mapIndexed { index, port -> "$port@${zoneOf(index)}" }
+        entries =
+            List(size) { index ->
+                val log = if (index % 2 == 1) fleet.startLink(fleet.logPort).also(links::add).port else fleet.logPort
+                val others = peers.filterIndexed { other, _ -> other != index }
+                fleet.startEntry("entry-$index", zoneOf(index), peerPorts[index], log, others)
+            }
+        fleet.awaitJoined()
+    }
+
+    /** Ports on which control traffic of the entries goes to the log service. */
+    val logPorts: Set<Int> get() = links.map { it.port }.toSet() + fleet.logPort
+
+    /** Ports on which control traffic goes between entries. */
+    val gossipPorts: Set<Int> get() = peerPorts.toSet()
+
+    private fun zoneOf(index: Int): String = Zones[index % Zones.size]
+
+    /** Returns the number of appends that the log service has taken. */
+    fun appends(): Long =
+        HttpCalls
+            .send("GET", "http://127.0.0.1:${fleet.logPort}/statistics")
+            .json
+            .getValue("appends")
+            .jsonPrimitive.long
+
+    /** Publishes teams [range], each with a key, and waits until every entry has folded them. */
+    fun addTeams(range: IntRange) {
+        val offsets =
+            range.map {
+                Thread.sleep(PUBLISH_PAUSE_MILLISECONDS)
+                fleet.publish(SetTeam(TeamName("team-$it"), 1, TEAM_LIMIT, null, Version.None))
+                fleet.publish(GiveKey(TeamName("team-$it"), KeyDigest.of("secret-$it")))
+            }
+        fleet.awaitOffset(offsets.last())
+    }
+
+    /** Publishes pools [range] and waits until every entry has folded them. */
+    fun addPools(range: IntRange) {
+        val offsets =
+            range.map {
+                Thread.sleep(PUBLISH_PAUSE_MILLISECONDS)
+                fleet.publish(
+                    SetPool(
+                        PoolName("pool-$it"),
+                        ServiceName("service-$it"),
+                        8,
+                        64,
+                        5.seconds,
+                        1,
+                        1,
+                        false,
+                        Version.None,
+                    ),
+                )
+            }
+        fleet.awaitOffset(offsets.last())
+    }
+
+    /** Publishes one change, a new key of the first team, and returns its offset. */
+    fun publishChange(): Long = fleet.publish(GiveKey(TeamName("team-1"), KeyDigest.of("change-${documents++}")))
+
+    override fun close(): Unit = fleet.close()
+
+    private companion object {
+        const val TEAM_LIMIT = 40
+
+        /** Keeps the publishing below the 300 appends per second of the log service. */
+        const val PUBLISH_PAUSE_MILLISECONDS = 10L
+    }
+}
--- a/scenarios/src/main/kotlin/dogwoodgrade/scenarios/Fleet.kt
+++ b/scenarios/src/main/kotlin/dogwoodgrade/scenarios/Fleet.kt
@@ -63,8 +63,13 @@
  * Stand-ins and entries as processes on one machine, for the demonstration and for tests with real processes.
  *
  * Every process listens on the loopback address with a port that was free when it started. [close] ends all of them.
+ *
+ * @param entryOptions options of the virtual machine of the entries
  */
-public class Fleet(private val folder: Path) : AutoCloseable {
+public class Fleet(
+    private val folder: Path,
+    private val entryOptions: List<String> = ProgramProcess.DefaultOptions,
+) : AutoCloseable {
     private val processes = mutableListOf<ProgramProcess>()
     private val links = mutableListOf<FleetLink>()
 
@@ -124,6 +129,7 @@
                 "dogwoodgrade.entry.MainKt",
                 listOf("--settings", settings.toString()),
                 folder.resolve("$name.log"),
+                options = entryOptions,
             )
         processes += process
         val ports = Regex("""(\w+)=(\d+)""").findAll(process.awaitListening()).associate {
--- a/scenarios/src/main/kotlin/dogwoodgrade/scenarios/ProgramProcess.kt
+++ b/scenarios/src/main/kotlin/dogwoodgrade/scenarios/ProgramProcess.kt
@@ -48,18 +48,22 @@
         private const val START_SECONDS = 60L
         private const val EXIT_SECONDS = 60L
 
-        /** Starts the program with the main class [mainClass]; its log goes to [logFile]. */
+        /** Options of the virtual machine besides the heap. */
+        public val DefaultOptions: List<String> = listOf("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1")
+
+        /** Starts the program with the main class [mainClass]; its log goes to [logFile]; [options] are for the virtual machine. */
         public fun start(
             name: String,
             mainClass: String,
             arguments: List<String>,
             logFile: Path,
             heapMegabytes: Int = 64,
+            options: List<String> = DefaultOptions,
         ): ProgramProcess {
             val java = Path.of(System.getProperty("java.home"), "bin", "java").toString()
             val command =
-                listOf(java, "-Xmx${heapMegabytes}m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp") +
-                    listOf(System.getProperty("java.class.path"), mainClass) + arguments
+                listOf(java, "-Xmx${heapMegabytes}m") + options +
+                    listOf("-cp", System.getProperty("java.class.path"), mainClass) + arguments
             val process =
                 ProcessBuilder(command)
                     .redirectError(ProcessBuilder.Redirect.appendTo(logFile.toFile()))
