Format key digests without java.util.Formatter

Cause: a Flight Recorder profile of an entry at 1 connection (159 samples of threads in Java code) had 51 samples in KeyDigest.of, 41 of them in the formatting of single bytes on the event loop. Change: KeyDigest.of uses HexFormat.

--- a/model/src/main/kotlin/dogwoodgrade/model/KeyDigest.kt
+++ b/model/src/main/kotlin/dogwoodgrade/model/KeyDigest.kt
@@ -1,6 +1,7 @@
 package dogwoodgrade.model
 
 import java.security.MessageDigest
+import java.util.HexFormat
 
 /**
  * SHA-256 digest of a team's key, as 64 lower-case hexadecimal characters.
@@ -27,12 +28,7 @@
 
         /** Returns the digest of [key]. */
         public fun of(key: String): KeyDigest =
-            KeyDigest(
-                MessageDigest
-                    .getInstance("SHA-256")
-                    .digest(key.encodeToByteArray())
-                    .joinToString("") { "%02x".format(it) },
-            )
+            KeyDigest(HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(key.encodeToByteArray())))
 
         /** Returns the digest written as [text], or `null` if it is not 64 lower-case hexadecimal characters. */
         public fun parseOrNull(text: String): KeyDigest? = if (isValid(text)) KeyDigest(text) else null
