Add the measurement of shares and of upper limits

Cause: the design states targets for fairness and the use of upper limits, but nothing measured them over bursty demand with faults.

Change: the program `measure` drives QueueTable, EndpointTable, PermitTable and PermitLedger in virtual time over seeded demand, and writes a table, a CSV file and an SVG plot.

--- /dev/null
+++ b/measure/src/main/kotlin/dogwoodgrade/measure/Main.kt
@@ -0,0 +1,13 @@
+package dogwoodgrade.measure
+
+import dogwoodgrade.commandline.parseOrExit
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ExperimentalCli
+
+/** Runs one measure and prints its table. */
+@OptIn(ExperimentalCli::class)
+fun main(arguments: Array<String>) {
+    val parser = ArgParser("measure")
+    parser.subcommands(SharesCommand(), LimitsCommand(), ZoneCommand())
+    parser.parseOrExit(arguments)
+}
--- /dev/null
+++ b/measure/src/main/kotlin/dogwoodgrade/measure/SharesCommand.kt
@@ -0,0 +1,69 @@
+package dogwoodgrade.measure
+
+import dogwoodgrade.shares.FirstComeFirstServed
+import kotlinx.cli.ArgType
+import kotlinx.cli.default
+
+/** Nearness to shares. */
+internal class SharesCommand : MeasureCommand("shares", "largest deviation of a team from its share over 10 s") {
+    private val entries by option(ArgType.Int, "entries", description = "number of entries").default(8)
+    private val seconds by option(ArgType.Int, "seconds", description = "virtual seconds").default(200)
+    private val burst by option(ArgType.Int, "burst", description = "milliseconds of a burst").default(20_000)
+
+    override fun measure(seeds: List<Long>): Report {
+        val policies = mapOf<String, (ServiceOptions) -> ServiceOptions>(
+            "least usage per share" to { it },
+            "least usage per share, free slots known at once" to { it.copy(exactSlots = true) },
+            "least usage, own view only" to { it.copy(exchange = false) },
+            "first come first served" to { it.copy(policy = FirstComeFirstServed) },
+        )
+        val rows = ArrayList<Row>()
+        val series = LinkedHashMap<String, List<Pair<Double, Double>>>()
+        for ((label, policy) in policies) {
+            for (seed in seeds) {
+                val base = ServiceOptions(seed, entries, seconds.toLong(), burst.toLong())
+                val simulation = ServiceSimulation(policy(base)).run()
+                val windows = saturatedWindows(simulation.samples, Teams.map(TeamProfile::share))
+                rows += Row(label, seed, figures(simulation, windows))
+                series.putIfAbsent(
+                    label,
+                    windows
+                        .groupBy(ShareWindow::start)
+                        .map { (start, all) ->
+                            start / 1_000.0 to all.maxOf(ShareWindow::deviation)
+                        }.sortedBy { it.first },
+                )
+            }
+        }
+        val title = "Deviation from shares, seed ${seeds.first()}"
+        return Report(name, Columns, rows, Plot(title, "start of the window (s)", "largest deviation", series))
+    }
+
+    private fun figures(simulation: ServiceSimulation, windows: List<ShareWindow>): List<Double> {
+        val sorted = windows.map(ShareWindow::deviation).sorted()
+
+        fun at(part: Double) =
+            sorted.getOrNull((sorted.size * part).toInt().coerceAtMost(sorted.lastIndex)) ?: Double.NaN
+        return listOf(
+            sorted.lastOrNull() ?: Double.NaN,
+            windows.filter(ShareWindow::settled).maxOfOrNull(ShareWindow::deviation) ?: Double.NaN,
+            at(0.95),
+            at(0.5),
+            sorted.size.toDouble(),
+            simulation.usedWhileFull(),
+            simulation.busyAnswers.toDouble() / simulation.starts,
+        )
+    }
+
+    private companion object {
+        val Columns = listOf(
+            "largest deviation",
+            "after 10 s of saturation",
+            "95th percentile",
+            "median",
+            "windows",
+            "slots used",
+            "busy answers per start",
+        )
+    }
+}
