--- a/measure/src/main/kotlin/dogwoodgrade/measure/Main.kt
+++ b/measure/src/main/kotlin/dogwoodgrade/measure/Main.kt
@@ -8,6 +8,6 @@
 @OptIn(ExperimentalCli::class)
 fun main(arguments: Array<String>) {
     val parser = ArgParser("measure")
-    parser.subcommands(SharesCommand(), LimitsCommand(), ZoneCommand())
+    parser.subcommands(SharesCommand(), LimitsCommand(), ZoneCommand(), MaintenanceCommand(), BufferCommand())
     parser.parseOrExit(arguments)
 }
--- a/measure/src/main/kotlin/dogwoodgrade/measure/Report.kt
+++ b/measure/src/main/kotlin/dogwoodgrade/measure/Report.kt
@@ -14,12 +14,12 @@
     val plot: Plot,
 )
 
-/** Returns the median and, for several [values], the minimum and maximum. */
+/** Returns the median and, if the [values] differ, the minimum and maximum. */
 internal fun summary(values: List<Double>): String {
     val sorted = values.sorted()
     val middle = sorted.size / 2
     val median = if (sorted.size % 2 == 1) sorted[middle] else (sorted[middle - 1] + sorted[middle]) / 2
-    val range = if (sorted.size > 1) " (${number(sorted.first())} to ${number(sorted.last())})" else ""
+    val range = if (sorted.first() < sorted.last()) " (${number(sorted.first())} to ${number(sorted.last())})" else ""
     return number(median) + range
 }
 
