--- /dev/null
+++ b/measure/src/main/kotlin/dogwoodgrade/measure/ControlCostCommand.kt
@@ -0,0 +1,88 @@
+package dogwoodgrade.measure
+
+import dogwoodgrade.codec.SnapshotCodec
+import dogwoodgrade.configuration.ConfigurationChange.ObserveFailure
+import dogwoodgrade.configuration.ConfigurationChange.ObserveRecovery
+import dogwoodgrade.control.ControlBody
+import dogwoodgrade.control.ControlRecord
+import dogwoodgrade.control.ControlState
+import dogwoodgrade.control.DecodedRecord
+import dogwoodgrade.control.fold
+import dogwoodgrade.limits.LocalPermits
+import dogwoodgrade.limits.PermitLedger
+import dogwoodgrade.limits.planPermitReport
+import dogwoodgrade.model.InstanceName
+import dogwoodgrade.model.Outcome
+import dogwoodgrade.model.RecordIdentifier
+import dogwoodgrade.model.TeamName
+import dogwoodgrade.model.valueOrNull
+import java.lang.management.ManagementFactory
+
+/** Processor time of folding a record, planning a permit report and encoding a snapshot, against the sizes. */
+internal class ControlCostCommand : MeasureCommand("control-cost", "processor time of the control state") {
+    private val threads = ManagementFactory.getThreadMXBean()
+
+    override fun measure(seeds: List<Long>): Report {
+        val instances = listOf(35, 500, 2_000, 8_000)
+        val teams = listOf(6, 50, 150, 350)
+        val costs = mapOf(
+            "fold by instances" to instances.map { it.toDouble() to foldCost(it) },
+            "snapshot by instances" to instances.map { it.toDouble() to snapshotCost(it) },
+            "permit plan by teams, 36 entries" to teams.map { it.toDouble() to planCost(it, 36) },
+        )
+        val rows = costs.map { (label, points) ->
+            val line = fitLine(points)
+            val nanoseconds = line.slope * 1_000
+            Row(label, seeds.first(), listOf(points.first().second, points.last().second, line.intercept, nanoseconds))
+        }
+        val bytes = instances.map { SnapshotCodec.encode(stateOf(it)).size.toDouble() }
+        val sizes = Row("snapshot bytes by instances", seeds.first(), listOf(bytes.first(), bytes.last()) + NoLine)
+        return Report(name, Columns, rows + sizes, Plot("Processor time", "size", "microseconds", costs))
+    }
+
+    /** Microseconds of processor time per call, after a warm-up of as many calls. */
+    private fun cost(repetitions: Int, run: (Int) -> Unit): Double {
+        repeat(repetitions, run)
+        val before = threads.currentThreadCpuTime
+        repeat(repetitions, run)
+        return (threads.currentThreadCpuTime - before) / 1_000.0 / repetitions
+    }
+
+    private fun stateOf(instances: Int): ControlState {
+        val pools = (instances / 38).coerceAtLeast(5)
+        val size = FleetSize("$instances", instances, pools, zones = 9, budget = 4, spares = 0)
+        return ControlState.Empty.copy(configuration = fleetOf(size))
+    }
+
+    private fun foldCost(instances: Int): Double {
+        var state = stateOf(instances)
+        val name = InstanceName("instance-0")
+        var number = 0
+        return cost(1_000) {
+            val identifier = RecordIdentifier("record-${number++}")
+            val change = if (number % 2 == 1) ObserveFailure(name) else ObserveRecovery(name)
+            val record = ControlRecord(identifier, 1, "entry-0", ControlBody.Configure(change))
+            state = state.fold(state.offset, DecodedRecord(identifier, 1, Outcome.Success(record)))
+        }
+    }
+
+    private fun snapshotCost(instances: Int): Double {
+        val state = stateOf(instances)
+        return cost(30) { check(SnapshotCodec.encode(state).isNotEmpty()) }
+    }
+
+    private fun planCost(teams: Int, entries: Int): Double {
+        val members = List(entries) { identity(it) }
+        val names = List(teams) { TeamName("team-$it") }
+        val limited = names.fold(PermitLedger()) { ledger, team -> ledger.setLimit(team, 400).valueOrNull() ?: ledger }
+        val ledger = members.fold(limited) { state, entry -> state.join(entry).valueOrNull() ?: state }
+        val local = LocalPermits(members.first(), ledger)
+        val demand = names.associateWith { 20 }
+        return cost(200) { planPermitReport(local, instantAt(it * 1_000L), members.toSet(), demand) }
+    }
+
+    private companion object {
+        val NoLine = listOf(Double.NaN, Double.NaN)
+        val Columns = listOf("smallest (us or bytes)", "largest (us or bytes)", "intercept (us)", "slope (ns per unit)")
+    }
+}
--- a/measure/src/main/kotlin/dogwoodgrade/measure/Main.kt
+++ b/measure/src/main/kotlin/dogwoodgrade/measure/Main.kt
@@ -8,6 +8,13 @@
 @OptIn(ExperimentalCli::class)
 fun main(arguments: Array<String>) {
     val parser = ArgParser("measure")
-    parser.subcommands(SharesCommand(), LimitsCommand(), ZoneCommand(), MaintenanceCommand(), BufferCommand())
+    parser.subcommands(
+        SharesCommand(),
+        LimitsCommand(),
+        ZoneCommand(),
+        MaintenanceCommand(),
+        BufferCommand(),
+        ControlCostCommand(),
+    )
     parser.parseOrExit(arguments)
 }
--- a/measure/src/main/kotlin/dogwoodgrade/measure/ShareWindows.kt
+++ b/measure/src/main/kotlin/dogwoodgrade/measure/ShareWindows.kt
@@ -12,6 +12,7 @@
 /**
  * Largest deviation of a team from its share in the window that starts at [start].
  *
+ * @property leastWaiting fewest requests of a team that waited at a sample
  * @property settled whether the pool was saturated for a whole window before the start
  */
 internal data class ShareWindow(
@@ -19,6 +20,7 @@
     val pool: Int,
     val deviation: Double,
     val team: Int,
+    val leastWaiting: Int,
     val settled: Boolean,
 )
 
@@ -33,6 +35,7 @@
         val length = (WINDOW / SAMPLE).toInt()
         pool.windowed(length + 1).mapIndexedNotNull { index, window ->
             if (!window.all { it.isSaturated }) return@mapIndexedNotNull null
+            val leastWaiting = window.minOf { it.waiting.min() }
             val before = pool.subList((index - length).coerceAtLeast(0), index)
             val settled = before.size == length && before.all { it.isSaturated }
             val used = shares.indices.map { window.last().slotTime[it] - window.first().slotTime[it] }
@@ -40,6 +43,6 @@
                 abs(time / (used.sum() * shares[team] / shares.sum()) - 1)
             }
             val worst = deviations.indices.maxBy { deviations[it] }
-            ShareWindow(window.first().time, window.first().pool, deviations[worst], worst, settled)
+            ShareWindow(window.first().time, window.first().pool, deviations[worst], worst, leastWaiting, settled)
         }
     }
--- a/measure/src/main/kotlin/dogwoodgrade/measure/SharesCommand.kt
+++ b/measure/src/main/kotlin/dogwoodgrade/measure/SharesCommand.kt
@@ -45,8 +45,9 @@
         fun at(part: Double) =
             sorted.getOrNull((sorted.size * part).toInt().coerceAtMost(sorted.lastIndex)) ?: Double.NaN
         return listOf(
-            sorted.lastOrNull() ?: Double.NaN,
-            windows.filter(ShareWindow::settled).maxOfOrNull(ShareWindow::deviation) ?: Double.NaN,
+            largest(windows),
+            largest(windows.filter(ShareWindow::settled)),
+            largest(windows.filter { it.leastWaiting >= BACKLOG }),
             at(0.95),
             at(0.5),
             sorted.size.toDouble(),
@@ -55,10 +56,17 @@
         )
     }
 
+    private fun largest(windows: List<ShareWindow>): Double =
+        windows.maxOfOrNull(ShareWindow::deviation) ?: Double.NaN
+
     private companion object {
+        /** Waiting requests of a team at which about every entry has some. */
+        const val BACKLOG = 40
+
         val Columns = listOf(
             "largest deviation",
             "after 10 s of saturation",
+            "with $BACKLOG or more waiting",
             "95th percentile",
             "median",
             "windows",
