Plan permits without searching each holder in the list of members

Cause: the permits of absent entries were summed by a list search for each holder, twice per team; this is quadratic in the entries.

Change: the sum is a difference of two linear sums, computed once per team. The result is the same, as members are distinct, so the tests of planning and the transfer property cover it. control-cost now measures a ledger in which every entry holds permits.

--- a/limits/src/main/kotlin/dogwoodgrade/limits/PermitPlanning.kt
+++ b/limits/src/main/kotlin/dogwoodgrade/limits/PermitPlanning.kt
@@ -137,7 +137,8 @@
     fun plan(targets: TargetRule, floor: Int, turn: Int, inUse: Int, stopping: Boolean): TeamPlan {
         val held = members.map { if (it == entry) owned else permits.heldBy(it) }
         val demands = members.map { if (it == entry) demand else permits.wantedBy(it) }
-        val memberTarget = targets(capacity(), floor, demands, firstMember(demands, turn))
+        val capacity = capacity()
+        val memberTarget = targets(capacity, floor, demands, firstMember(capacity, demands, turn))
         val target = memberTarget[members.indexOf(entry)]
         val surrendered =
             if (stopping) (owned - demand).coerceAtLeast(0) else surrendered(held.zip(memberTarget), owned - target)
@@ -148,16 +149,14 @@
 
     /** Permits that live members can hold together; suspected entries keep theirs until there is evidence of an end. */
     private fun capacity(): Int {
-        val absent = permits.held
-            .filterKeys { it !in members }
-            .values
-            .sumOf { it.count }
+        // A difference, because a search of every holder in the members takes quadratic time in the entries.
+        val absent = permits.heldTotal - members.sumOf(permits::heldBy)
         return (permits.limit - permits.quarantinedTotal - absent).coerceAtLeast(0)
     }
 
     /** Members take turns only if there are fewer permits than members with demand; otherwise permits stay put. */
-    private fun firstMember(demands: List<Int>, turn: Int): Int =
-        if (capacity() < demands.count { it > 0 }) turn else 0
+    private fun firstMember(capacity: Int, demands: List<Int>, turn: Int): Int =
+        if (capacity < demands.count { it > 0 }) turn else 0
 
     /**
      * Number of permits to give up: this entry's part, in proportion to its [surplus], of what the members below their
--- a/measure/src/main/kotlin/dogwoodgrade/measure/ControlCostCommand.kt
+++ b/measure/src/main/kotlin/dogwoodgrade/measure/ControlCostCommand.kt
@@ -9,7 +9,9 @@
 import dogwoodgrade.control.DecodedRecord
 import dogwoodgrade.control.fold
 import dogwoodgrade.limits.LocalPermits
+import dogwoodgrade.limits.PermitChange
 import dogwoodgrade.limits.PermitLedger
+import dogwoodgrade.limits.PermitReport
 import dogwoodgrade.limits.planPermitReport
 import dogwoodgrade.model.InstanceName
 import dogwoodgrade.model.Outcome
@@ -76,7 +78,11 @@
         val names = List(teams) { TeamName("team-$it") }
         val limited = names.fold(PermitLedger()) { ledger, team -> ledger.setLimit(team, 400).valueOrNull() ?: ledger }
         val ledger = members.fold(limited) { state, entry -> state.join(entry).valueOrNull() ?: state }
-        val local = LocalPermits(members.first(), ledger)
+        val held = members.fold(ledger) { state, entry ->
+            val report = PermitReport(entry, 1, names.associateWith { PermitChange(0, 10, 20) })
+            state.applyReport(report).valueOrNull() ?: state
+        }
+        val local = LocalPermits(members.first(), held)
         val demand = names.associateWith { 20 }
         return cost(200) { planPermitReport(local, instantAt(it * 1_000L), members.toSet(), demand) }
     }
