--- a/operator/src/main/kotlin/dogwoodgrade/operator/ChangeCommands.kt
+++ b/operator/src/main/kotlin/dogwoodgrade/operator/ChangeCommands.kt
@@ -179,6 +179,20 @@
     override fun plan(): ChangePlan = withInstance(instance) { ConfigurationChange.RemoveInstance(it.name) }
 }
 
+internal class ObserveCommand(private val failed: Boolean, selected: Selected) :
+    ChangeCommand(
+        if (failed) "observe-failure" else "observe-recovery",
+        if (failed) "Records that an instance has failed" else "Records that a failed instance works again",
+        selected,
+    ) {
+    val instance by argument(ArgType.String, "instance")
+
+    override fun plan(): ChangePlan =
+        withInstance(instance) {
+            if (failed) ConfigurationChange.ObserveFailure(it.name) else ConfigurationChange.ObserveRecovery(it.name)
+        }
+}
+
 internal class ZoneCommand(private val inService: Boolean, selected: Selected) :
     ChangeCommand(
         if (inService) "zone-in" else "zone-out",
--- a/operator/src/main/kotlin/dogwoodgrade/operator/Listings.kt
+++ b/operator/src/main/kotlin/dogwoodgrade/operator/Listings.kt
@@ -8,6 +8,7 @@
 import dogwoodgrade.model.EntryIdentity
 import dogwoodgrade.model.Offset
 import kotlinx.serialization.json.JsonObject
+import java.util.Locale
 
 /** Returns the configuration as tables, keys as short digests. */
 internal fun configurationTables(state: ConfigurationState): List<Table> =
@@ -113,7 +114,7 @@
 ): Table =
     Table(
         "entries",
-        listOf("entry", "zone", "operatorAddress", "offset", "confirmed", "contactAge", "liveness", "freshness"),
+        listOf("entry", "zone", "operatorAddress", "offset", "confirmed", "contactAgeSeconds", "liveness", "freshness"),
         entries.sortedBy { it.identity }.map { entry ->
             val answer = answers[entry.identity]
             val gossip = seen[entry.identity.toString()]
@@ -125,7 +126,8 @@
                 entry.operatorAddress,
                 applied ?: "-",
                 applied != null && applied >= offset.value,
-                own?.let { textIn(it, "contactAgeSeconds") } ?: "-",
+                own?.let { textIn(it, "contactAgeSeconds") }?.toDoubleOrNull()?.let { "%.1f".format(Locale.ROOT, it) }
+                    ?: "-",
                 if (answer != null) "answers" else gossip?.let { textIn(it, "liveness") } ?: "unknown",
                 answer?.let { textIn(it, "freshness") } ?: "unknown",
             )
--- a/operator/src/main/kotlin/dogwoodgrade/operator/Main.kt
+++ b/operator/src/main/kotlin/dogwoodgrade/operator/Main.kt
@@ -30,6 +30,8 @@
         ::DrainCommand,
         ::ReturnCommand,
         ::RemoveCommand,
+        { ObserveCommand(failed = true, it) },
+        { ObserveCommand(failed = false, it) },
         { ZoneCommand(inService = false, it) },
         { ZoneCommand(inService = true, it) },
         ::SetDocumentCommand,
--- a/scenarios/src/main/kotlin/dogwoodgrade/scenarios/DemonstrationSteps.kt
+++ b/scenarios/src/main/kotlin/dogwoodgrade/scenarios/DemonstrationSteps.kt
@@ -75,7 +75,11 @@
 private fun countOf(endpoint: FleetEndpoint, field: String): Int = countIn(endpoint.statistics(), field)
 
 private fun countIn(statistics: JsonObject, field: String): Int =
-    statistics[field]?.jsonObject?.get(Demonstration.TEAM)?.jsonPrimitive?.int ?: 0
+    statistics[field]
+        ?.jsonObject
+        ?.get(Demonstration.TEAM)
+        ?.jsonPrimitive
+        ?.int ?: 0
 
 /** Sends requests one after the other to each running entry while [action] runs; returns the statuses. */
 private fun underLoad(demonstration: Demonstration, entries: List<FleetEntry>, action: () -> Unit): Map<Int, Int> {
