--- a/operator/src/main/kotlin/dogwoodgrade/operator/ChangeCommands.kt
+++ b/operator/src/main/kotlin/dogwoodgrade/operator/ChangeCommands.kt
@@ -3,6 +3,7 @@
 import dogwoodgrade.configuration.ConfigurationChange
 import dogwoodgrade.configuration.ConfigurationState
 import dogwoodgrade.configuration.DocumentKey
+import dogwoodgrade.configuration.Instance
 import dogwoodgrade.model.AvailabilityZone
 import dogwoodgrade.model.DocumentName
 import dogwoodgrade.model.InstanceName
@@ -35,7 +36,7 @@
 
 private fun single(change: (ConfigurationState) -> ConfigurationChange): ChangePlan = { Success(listOf(change(it))) }
 
-private fun withInstance(name: String, change: (dogwoodgrade.configuration.Instance) -> ConfigurationChange): ChangePlan =
+private fun withInstance(name: String, change: (Instance) -> ConfigurationChange): ChangePlan =
     { state ->
         state.instances[InstanceName(name)]?.let { Success(listOf(change(it))) }
             ?: Failure(ResultCode.UnknownInstance, "instance $name does not exist")
--- a/operator/src/main/kotlin/dogwoodgrade/operator/Listings.kt
+++ b/operator/src/main/kotlin/dogwoodgrade/operator/Listings.kt
@@ -12,66 +12,63 @@
 
 /** Returns the configuration as tables, keys as short digests. */
 internal fun configurationTables(state: ConfigurationState): List<Table> =
-    listOf(
-        Table(
-            "teams",
-            listOf("team", "share", "upperLimit", "refuseWhenStaleAfter", "keys", "version"),
-            state.teams.values.sortedBy { it.name }.map { team ->
-                val keys = state.keys
-                    .filterValues { it == team.name }
-                    .keys
-                    .map { "$it" }
-                    .sorted()
-                    .joinToString(",")
-                cells(team.name, team.share, team.upperLimit, team.refuseWhenStaleAfter ?: "-", keys, team.version)
-            },
-        ),
-        Table(
-            "pools",
-            listOf("pool", "service", "slots", "connections", "taskLease", "budget", "urgent", "open", "version"),
-            state.pools.values.sortedBy { it.name }.map {
-                cells(
-                    it.name,
-                    it.service,
-                    it.slotsPerEndpoint,
-                    it.connectionsPerEndpoint,
-                    it.taskLease,
-                    it.availabilityBudget,
-                    it.urgentReserve,
-                    it.open,
-                    it.version,
-                )
-            },
-        ),
-        Table(
-            "instances",
-            listOf("instance", "pool", "zone", "rack", "worker", "address", "wave", "failed", "maintainedAt"),
-            state.instances.values.sortedBy { it.name }.map {
-                cells(
-                    it.name,
-                    it.pool,
-                    it.zone,
-                    it.rack,
-                    it.worker,
-                    it.address,
-                    it.wave ?: "-",
-                    it.failed,
-                    it.maintainedAt ?: "-",
-                )
-            },
-        ),
-        Table(
-            "zones",
-            listOf("zone", "inService", "version"),
-            zonesOf(state).map { cells(it, state.isInService(it), state.versionOf(it)) },
-        ),
-        Table(
-            "documents",
-            listOf("document", "schema", "bytes", "version"),
-            state.documents.values.sortedWith(compareBy({ it.key.name }, { it.key.schemaVersion })).map {
-                cells(it.key.name, it.key.schemaVersion, it.content.encodeToByteArray().size, it.version)
-            },
-        ),
+    listOf(teamsTable(state), poolsTable(state), instancesTable(state), zonesTable(state), documentsTable(state))
+
+private fun teamsTable(state: ConfigurationState): Table =
+    Table(
+        "teams",
+        listOf("team", "share", "upperLimit", "refuseWhenStaleAfter", "keys", "version"),
+        state.teams.values.sortedBy { it.name }.map { team ->
+            val digests = state.keys.filterValues { it == team.name }.keys
+            val keys = digests.map { "$it" }.sorted().joinToString(",")
+            cells(team.name, team.share, team.upperLimit, team.refuseWhenStaleAfter ?: "-", keys, team.version)
+        },
+    )
+
+private fun poolsTable(state: ConfigurationState): Table =
+    Table(
+        "pools",
+        listOf("pool", "service", "slots", "connections", "taskLease", "budget", "urgent", "open", "version"),
+        state.pools.values.sortedBy { it.name }.map {
+            cells(
+                it.name,
+                it.service,
+                it.slotsPerEndpoint,
+                it.connectionsPerEndpoint,
+                it.taskLease,
+                it.availabilityBudget,
+                it.urgentReserve,
+                it.open,
+                it.version,
+            )
+        },
+    )
+
+private fun instancesTable(state: ConfigurationState): Table =
+    Table(
+        "instances",
+        listOf("instance", "pool", "zone", "rack", "worker", "address", "wave", "failed", "maintainedAt"),
+        state.instances.values.sortedBy { it.name }.map {
+            val wave = it.wave ?: "-"
+            val maintained = it.maintainedAt ?: "-"
+            cells(it.name, it.pool, it.zone, it.rack, it.worker, it.address, wave, it.failed, maintained)
+        },
+    )
+
+private fun zonesTable(state: ConfigurationState): Table =
+    Table(
+        "zones",
+        listOf("zone", "inService", "version"),
+        zonesOf(state).map { cells(it, state.isInService(it), state.versionOf(it)) },
+    )
+
+private fun documentsTable(state: ConfigurationState): Table =
+    Table(
+        "documents",
+        listOf("document", "schema", "bytes", "version"),
+        state.documents.values.sortedWith(compareBy({ it.key.name }, { it.key.schemaVersion })).map {
+            cells(it.key.name, it.key.schemaVersion, it.content.encodeToByteArray().size, it.version)
+        },
     )
 
 private fun zonesOf(state: ConfigurationState) =
