--- a/operator/src/main/kotlin/dogwoodgrade/operator/ChangeCommands.kt
+++ b/operator/src/main/kotlin/dogwoodgrade/operator/ChangeCommands.kt
@@ -64,18 +64,15 @@
         }
 }
 
-internal class GiveKeyCommand(selected: Selected) : ChangeCommand("give-key", "Gives a team a key", selected) {
+internal class GiveKeyCommand(selected: Selected) : OperatorCommand("give-key", "Gives a team a key", selected) {
     val team by argument(ArgType.String, "team")
     val key by option(ArgType.String, "key", description = "the key; a new one is made and printed if absent")
 
-    override fun plan(): ChangePlan = planFor(key ?: newKey(SecureRandom()::nextBytes))
-
-    private fun planFor(text: String) = single { ConfigurationChange.GiveKey(TeamName(team), KeyDigest.of(text)) }
-
     /** The new key is printed in every outcome in which it may have been given, as it is kept nowhere else. */
     override suspend fun run(context: OperatorContext): CommandResult {
         val text = key ?: newKey(SecureRandom()::nextBytes)
-        val result = proposeAll(context, planFor(text))
+        val change = ConfigurationChange.GiveKey(TeamName(team), KeyDigest.of(text))
+        val result = proposeAll(context, single { change })
         val given = result.code in setOf(ResultCode.Accepted, ResultCode.NotConfirmed, ResultCode.LogAnswerLost)
         if (key != null || !given) return result
         return result.copy(tables = result.tables + Table("key", listOf("key"), listOf(listOf(text))))
--- a/scenarios/src/main/kotlin/dogwoodgrade/scenarios/Demonstration.kt
+++ b/scenarios/src/main/kotlin/dogwoodgrade/scenarios/Demonstration.kt
@@ -21,7 +21,7 @@
     }
 }
 
-/** The processes of the demonstration: a log service, a live list, two zones with two entries and two endpoints each. */
+/** The processes of the demonstration: a log service, a live list, and two zones of two entries and two endpoints. */
 public class Demonstration(private val folder: Path, private val print: (String) -> Unit) : AutoCloseable {
     /** The processes. */
     public val fleet: Fleet = Fleet(folder)
@@ -44,8 +44,8 @@
     }
 
     private fun startEntry(name: String) {
-        val peers = peerPorts.filterKeys { it != name }.map { (peer, port) -> "$port@${zoneOf(peer)}" }
-        fleet.startEntry(name, zoneOf(name), peerPorts.getValue(name), peers = peers.map { it.substringBefore('@') })
+        val peers = peerPorts.filterKeys { it != name }.values.map { "$it" }
+        fleet.startEntry(name, zoneOf(name), peerPorts.getValue(name), peers = peers)
     }
 
     private fun zoneOf(entry: String): String = entry.substringAfter('-').take(1)
