--- a/operator/src/main/kotlin/dogwoodgrade/operator/ChangeCommands.kt
+++ b/operator/src/main/kotlin/dogwoodgrade/operator/ChangeCommands.kt
@@ -3,6 +3,7 @@
 import dogwoodgrade.configuration.ConfigurationChange
 import dogwoodgrade.configuration.ConfigurationState
 import dogwoodgrade.configuration.DocumentKey
+import dogwoodgrade.configuration.Instance
 import dogwoodgrade.model.AvailabilityZone
 import dogwoodgrade.model.DocumentName
 import dogwoodgrade.model.InstanceName
@@ -35,7 +36,7 @@
 
 private fun single(change: (ConfigurationState) -> ConfigurationChange): ChangePlan = { Success(listOf(change(it))) }
 
-private fun withInstance(name: String, change: (dogwoodgrade.configuration.Instance) -> ConfigurationChange): ChangePlan =
+private fun withInstance(name: String, change: (Instance) -> ConfigurationChange): ChangePlan =
     { state ->
         state.instances[InstanceName(name)]?.let { Success(listOf(change(it))) }
             ?: Failure(ResultCode.UnknownInstance, "instance $name does not exist")
@@ -63,18 +64,15 @@
         }
 }
 
-internal class GiveKeyCommand(selected: Selected) : ChangeCommand("give-key", "Gives a team a key", selected) {
+internal class GiveKeyCommand(selected: Selected) : OperatorCommand("give-key", "Gives a team a key", selected) {
     val team by argument(ArgType.String, "team")
     val key by option(ArgType.String, "key", description = "the key; a new one is made and printed if absent")
 
-    override fun plan(): ChangePlan = planFor(key ?: newKey(SecureRandom()::nextBytes))
-
-    private fun planFor(text: String) = single { ConfigurationChange.GiveKey(TeamName(team), KeyDigest.of(text)) }
-
     /** The new key is printed in every outcome in which it may have been given, as it is kept nowhere else. */
     override suspend fun run(context: OperatorContext): CommandResult {
         val text = key ?: newKey(SecureRandom()::nextBytes)
-        val result = proposeAll(context, planFor(text))
+        val change = ConfigurationChange.GiveKey(TeamName(team), KeyDigest.of(text))
+        val result = proposeAll(context, single { change })
         val given = result.code in setOf(ResultCode.Accepted, ResultCode.NotConfirmed, ResultCode.LogAnswerLost)
         if (key != null || !given) return result
         return result.copy(tables = result.tables + Table("key", listOf("key"), listOf(listOf(text))))
@@ -179,6 +177,20 @@
     override fun plan(): ChangePlan = withInstance(instance) { ConfigurationChange.RemoveInstance(it.name) }
 }
 
+internal class ObserveCommand(private val failed: Boolean, selected: Selected) :
+    ChangeCommand(
+        if (failed) "observe-failure" else "observe-recovery",
+        if (failed) "Records that an instance has failed" else "Records that a failed instance works again",
+        selected,
+    ) {
+    val instance by argument(ArgType.String, "instance")
+
+    override fun plan(): ChangePlan =
+        withInstance(instance) {
+            if (failed) ConfigurationChange.ObserveFailure(it.name) else ConfigurationChange.ObserveRecovery(it.name)
+        }
+}
+
 internal class ZoneCommand(private val inService: Boolean, selected: Selected) :
     ChangeCommand(
         if (inService) "zone-in" else "zone-out",
