--- a/entry/src/main/kotlin/dogwoodgrade/entry/LogFollower.kt
+++ b/entry/src/main/kotlin/dogwoodgrade/entry/LogFollower.kt
@@ -72,7 +72,8 @@
                 if (table.state.offset >= result.end) freshness.update { it.confirmed(asOf) }
                 true
             }
-            is ReadResult.Dropped -> installNewestSnapshot()
+            // Without a snapshot that reaches the kept records only a peer can help; the pause is then the one of an outage.
+            is ReadResult.Dropped -> installNewestSnapshot() && table.state.offset >= result.first
             is ReadResult.Unreachable -> false
         }
     }
--- a/entry/src/test/kotlin/dogwoodgrade/entry/DispatcherRig.kt
+++ b/entry/src/test/kotlin/dogwoodgrade/entry/DispatcherRig.kt
@@ -92,7 +92,14 @@
             DispatcherPorts(
                 now = { now },
                 random = Random(1),
-                send = { call, reservation, mayStart, ended -> sent += SentAttempt(call, reservation, mayStart, ended) },
+                send = {
+                    call,
+                    reservation,
+                    mayStart,
+                    ended,
+                    ->
+                    sent += SentAttempt(call, reservation, mayStart, ended)
+                },
                 later = { delay, event -> timers += now + delay to event },
                 post = events::add,
                 demandChanged = {},
--- a/entry/src/test/kotlin/dogwoodgrade/entry/DispatcherTest.kt
+++ b/entry/src/test/kotlin/dogwoodgrade/entry/DispatcherTest.kt
@@ -44,7 +44,13 @@
         rig.end(rig.sent.single(), FailedBeforeHead)
         rig.advance(100.milliseconds)
         assertEquals(2 to 2, rig.inUse() to rig.sent.size)
-        assertEquals(2, rig.sent.map { it.reservation.endpoint.instance }.toSet().size)
+        assertEquals(
+            2,
+            rig.sent
+                .map { it.reservation.endpoint.instance }
+                .toSet()
+                .size,
+        )
         val single = DispatcherRig(permits = 1)
         single.arrive(requestOf("first", idempotent = true))
         single.end(single.sent.single(), FailedBeforeHead)
@@ -71,16 +77,25 @@
     }
 
     @Test
-    fun `a key withdrawn or a zone taken out between admission and the first byte has its effect`() {
+    fun `a key withdrawn between admission and the first byte starts nothing`() {
         val rig = DispatcherRig(permits = 2)
         val (caller, _) = rig.arrive(requestOf("key"))
         rig.apply(rig.configure(withdraw))
         rig.end(rig.sent.single(), Complete(200))
         assertEquals(ResultCode.UnknownKey to Execution.No, rig.codeOf(caller) to caller.refusal?.execution)
         assertEquals(0, rig.inUse())
+    }
+
+    @Test
+    fun `a zone taken out between the choice of an endpoint and the first byte gets nothing`() {
         val zones = DispatcherRig(permits = 2)
         zones.arrive(requestOf("zone"))
-        assertEquals(ZoneA, zones.sent.single().reservation.endpoint.zone)
+        assertEquals(
+            ZoneA,
+            zones.sent
+                .single()
+                .reservation.endpoint.zone,
+        )
         zones.apply(zones.configure(takeZoneA))
         zones.end(zones.sent.single(), Complete(200))
         assertEquals(listOf("a", "b"), zones.sent.map { it.reservation.endpoint.zone.text })
--- a/entry/src/test/kotlin/dogwoodgrade/entry/EndpointClientTest.kt
+++ b/entry/src/test/kotlin/dogwoodgrade/entry/EndpointClientTest.kt
@@ -33,7 +33,11 @@
 
     @AfterTest
     fun stop() {
-        vertx.close().toCompletionStage().toCompletableFuture().get(WAIT_SECONDS, TimeUnit.SECONDS)
+        vertx
+            .close()
+            .toCompletionStage()
+            .toCompletableFuture()
+            .get(WAIT_SECONDS, TimeUnit.SECONDS)
     }
 
     /** Starts a server that calls [script] for each request, with its number on the connection and its path. */
@@ -57,7 +61,12 @@
                 }
             }
         }
-        return server.listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture().get().actualPort()
+        return server
+            .listen(0, "127.0.0.1")
+            .toCompletionStage()
+            .toCompletableFuture()
+            .get()
+            .actualPort()
     }
 
     private fun send(
@@ -111,7 +120,14 @@
                 },
                 Row("hangs", TimedOut, "", false, 50.milliseconds, 300.milliseconds, ResultCode.OutcomeUnknown) {},
                 Row("hangs in its body", TimedOut, "part", aborted = true, lease = 300.milliseconds) { it.write(cut) },
-                Row("is late", Complete(200), "", false, 50.milliseconds, refusal = ResultCode.OutcomeUnknown) { socket ->
+                Row(
+                    "is late",
+                    Complete(200),
+                    "",
+                    false,
+                    50.milliseconds,
+                    refusal = ResultCode.OutcomeUnknown,
+                ) { socket ->
                     later(300) { socket.write(answer("late")) }
                 },
             )
@@ -138,7 +154,13 @@
     @Test
     fun `a response after the lease does not reach the next request`() {
         val port =
-            serve { socket, _, path -> if (path.endsWith("slow")) later(400) { socket.write(answer(path)) } else socket.write(answer(path)) }
+            serve {
+                socket,
+                _,
+                path,
+                ->
+                if (path.endsWith("slow")) later(400) { socket.write(answer(path)) } else socket.write(answer(path))
+            }
         assertEquals(TimedOut, send(port, "slow", lease = 200.milliseconds).second.result())
         val (caller, end) = send(port, "next")
         assertEquals(Complete(200), end.result())
@@ -149,7 +171,12 @@
     fun `a response that was sent twice never reaches another caller`() {
         for (gap in listOf(0L, 5L, 30L)) {
             for (numbered in listOf(false, true)) {
-                for (status in listOf("200 OK", "503 X\r\nDogwoodgrade-Executed: no")) assertNotMixed(gap, numbered, status)
+                for (status in listOf(
+                    "200 OK",
+                    "503 X\r\nDogwoodgrade-Executed: no",
+                )) {
+                    assertNotMixed(gap, numbered, status)
+                }
             }
         }
     }
