--- a/entry/src/main/kotlin/dogwoodgrade/entry/EndpointClient.kt
+++ b/entry/src/main/kotlin/dogwoodgrade/entry/EndpointClient.kt
@@ -36,7 +36,7 @@
 /** How an attempt ended. [headForwarded] tells whether the caller has received a part of the response. */
 internal data class AttemptEnd(val result: AttemptResult, val headForwarded: Boolean)
 
-/** Header that numbers an attempt; an endpoint that repeats it in its responses gets several requests per connection. */
+/** Number of an attempt; an endpoint that repeats it in its responses gets several requests per connection. */
 private const val ATTEMPT_HEADER = "Dogwoodgrade-Attempt"
 
 private const val STATUS_NO_CONTENT = 204
@@ -59,7 +59,7 @@
 
 /**
  * Time without kept connections after one was lost before a response. A request that is written while the endpoint
- * closes the connection has an unknown outcome, so an endpoint that closes connections early costs one request a minute.
+ * closes the connection has an unknown outcome. An endpoint that closes connections early costs one request a minute.
  */
 private val SingleAfterLoss: Duration = 1.minutes
 
--- a/entry/src/main/kotlin/dogwoodgrade/entry/LogFollower.kt
+++ b/entry/src/main/kotlin/dogwoodgrade/entry/LogFollower.kt
@@ -72,7 +72,7 @@
                 if (table.state.offset >= result.end) freshness.update { it.confirmed(asOf) }
                 true
             }
-            // Without a snapshot that reaches the kept records only a peer can help; the pause is then the one of an outage.
+            // Without a snapshot that reaches the kept records only a peer can help; the next read waits.
             is ReadResult.Dropped -> installNewestSnapshot() && table.state.offset >= result.first
             is ReadResult.Unreachable -> false
         }
--- a/log-client/src/test/kotlin/dogwoodgrade/logclient/HttpLogServiceTest.kt
+++ b/log-client/src/test/kotlin/dogwoodgrade/logclient/HttpLogServiceTest.kt
@@ -21,7 +21,11 @@
 
     @AfterTest
     fun stop() {
-        vertx.close().toCompletionStage().toCompletableFuture().get()
+        vertx
+            .close()
+            .toCompletionStage()
+            .toCompletableFuture()
+            .get()
     }
 
     /** One row: what the service does with a request, and what an append and a read may conclude from it. */
@@ -34,8 +38,13 @@
 
     private fun answer(status: Int, body: String) = "HTTP/1.1 $status X\r\nContent-Length: ${body.length}\r\n\r\n$body"
 
-    private fun row(fault: String, status: Int, body: String, append: KClass<out AppendResult>, read: KClass<out ReadResult>) =
-        Row(fault, append, read) { it.write(answer(status, body)) }
+    private fun row(
+        fault: String,
+        status: Int,
+        body: String,
+        append: KClass<out AppendResult>,
+        read: KClass<out ReadResult>,
+    ) = Row(fault, append, read) { it.write(answer(status, body)) }
 
     private fun serve(act: (NetSocket) -> Unit): Int =
         vertx
@@ -74,7 +83,13 @@
                 Row("is no HTTP server", unknown, unreachable) { it.write("garbage\r\n\r\n") },
                 row("answers with no JSON", 200, "garbage", unknown, unreachable),
                 row("answers with other JSON", 200, "[]", unknown, unreachable),
-                row("answers with a negative offset", 200, """{"offset":-1,"next":-1,"records":[]}""", unknown, unreachable),
+                row(
+                    "answers with a negative offset",
+                    200,
+                    """{"offset":-1,"next":-1,"records":[]}""",
+                    unknown,
+                    unreachable,
+                ),
                 row("limits the rate", 429, "", refused, unreachable),
                 row("is in an outage", 503, "", refused, unreachable),
                 row("fails", 500, "", unknown, unreachable),
