--- a/membership/src/main/kotlin/dogwoodgrade/membership/OwnReport.kt
+++ b/membership/src/main/kotlin/dogwoodgrade/membership/OwnReport.kt
@@ -74,7 +74,7 @@
     Movement(name, index ?: Int.MAX_VALUE, if (index == null) 0 else held[index].value, value)
 
 private data class Movement(val name: CellName, val index: Int, val before: Long, val after: Long) {
-    /** A request that occupies a slot, or a step of a demand, counts as much as the usage of one slot for one second. */
+    /** A request in a slot, or a step of a demand, counts as much as the usage of one slot for one second. */
     val size: Long get() = if (name is CellName.Usage) abs(after - before) else abs(after - before) * LOAD_WEIGHT
 }
 
--- a/membership/src/test/kotlin/dogwoodgrade/membership/MemberTableTest.kt
+++ b/membership/src/test/kotlin/dogwoodgrade/membership/MemberTableTest.kt
@@ -171,7 +171,7 @@
         }
     }
 
-    /** Guards against bytes for a queue that only varies in length, and against demand that stays after it has ended. */
+    /** Guards against bytes for a queue that only varies in length, and against demand that never ends. */
     @Test
     fun `demand is sent when its magnitude changes and ends when it is no longer reported`() {
         val queue = CellName.Queue(PoolName("pool"), null)
--- a/peer/src/test/kotlin/dogwoodgrade/peer/GossipCostTest.kt
+++ b/peer/src/test/kotlin/dogwoodgrade/peer/GossipCostTest.kt
@@ -28,7 +28,8 @@
 /**
  * Measures gossip in virtual time with the real encoding and prints a table. The load follows the sizes of today: 35
  * executors with 8 slots for every 8 entries, five pools that take turns of 5 s at five times their mean (every slot
- * in use) and are at a twentieth of it otherwise. Requests of every team wait in the pool whose turn it is. The loads of all endpoints change at random every second.
+ * in use) and are at a twentieth of it otherwise. Requests of every team wait in the pool whose turn it is. The loads
+ * of all endpoints change at random every second.
  */
 class GossipCostTest {
     private val pools = List(5) { PoolName("pool-$it") }
--- a/shares/src/test/kotlin/dogwoodgrade/shares/FleetSimulation.kt
+++ b/shares/src/test/kotlin/dogwoodgrade/shares/FleetSimulation.kt
@@ -34,8 +34,8 @@
 
 /**
  * Several entries in front of one pool, in virtual time. An entry learns at once that its own task has ended; of other
- * free slots it learns with its tick every 50 ms. As in the entries, the reserve is the number of free slots that normal
- * work leaves. Reports are taken every second and arrive 100 to 700 ms later.
+ * free slots it learns with its tick every 50 ms. As in the entries, the reserve is the number of free slots that
+ * normal work leaves. Reports are taken every second and arrive 100 to 700 ms later.
  */
 internal class FleetSimulation(
     private val loads: List<TeamLoad>,
