Sample socket counts so that closed connections are counted

Cause: control-cost read the kernel's counts at the start and at the end of a row. Change: sockets are sampled every 500 ms and the differences added up. The offset is read from /entries, which computes no digest of the state.

--- a/load/src/main/kotlin/dogwoodgrade/load/ControlCost.kt
+++ b/load/src/main/kotlin/dogwoodgrade/load/ControlCost.kt
@@ -15,6 +15,8 @@
 private const val SETTLE_MILLISECONDS = 5_000L
 private const val CHANGE_PAUSE_MILLISECONDS = 100L
 private const val POLL_MILLISECONDS = 2L
+private const val SAMPLE_MILLISECONDS = 500L
+private const val STEP_MILLISECONDS = 10L
 private const val MAX_TEAMS = 350
 private const val MAX_POOLS = 209
 
@@ -81,47 +83,41 @@
 
     private fun costOf(fleet: ControlFleet, changesPerSecond: Int): Cost {
         val pids = fleet.entries.map { it.process.pid }
+        val traffic = TrafficSum()
         val begin = System.nanoTime()
         val processor = pids.map(ProcessCost::processorTime)
-        val log = SocketBytes.perProcess(fleet.logPorts)
-        val gossip = SocketBytes.perProcess(fleet.gossipPorts)
         val appends = fleet.appends()
-        waitAndChange(fleet, begin, changesPerSecond)
+        waitAndChange(fleet, traffic, begin, changesPerSecond)
         val seconds = (System.nanoTime() - begin).nanoseconds.toDouble(DurationUnit.SECONDS)
         val used = pids.zip(processor) { pid, before -> ProcessCost.processorTime(pid) - before }
         return Cost(
             Spread.of(used.map { it.toDouble(DurationUnit.MILLISECONDS) / seconds }),
-            traffic(pids, log, SocketBytes.perProcess(fleet.logPorts), seconds),
-            traffic(pids, gossip, SocketBytes.perProcess(fleet.gossipPorts), seconds),
+            Spread.of(pids.map { traffic.bytesOf(it, fleet.logPorts) / seconds }),
+            Spread.of(pids.map { traffic.bytesOf(it, fleet.gossipPorts) / seconds }),
             (fleet.appends() - appends) / seconds,
         )
     }
 
-    private fun waitAndChange(fleet: ControlFleet, begin: Long, changesPerSecond: Int) {
+    /** Sockets are sampled several times a second, because an entry closes connections that were idle for some time. */
+    private fun waitAndChange(fleet: ControlFleet, traffic: TrafficSum, begin: Long, changesPerSecond: Int) {
         val end = begin + options.time.inWholeNanoseconds
-        val pause = if (changesPerSecond == 0) options.time else 1.seconds / changesPerSecond
-        var next = begin
+        val pause = if (changesPerSecond == 0) Duration.INFINITE else 1.seconds / changesPerSecond
+        var changes = 0
+        var sampled = 0L
+        traffic.add(SocketBytes.read())
         while (System.nanoTime() < end) {
-            if (changesPerSecond > 0) fleet.publishChange()
-            next += pause.inWholeNanoseconds
-            val left = (minOf(next, end) - System.nanoTime()).nanoseconds.inWholeMilliseconds
-            if (left > 0) Thread.sleep(left)
+            val passed = (System.nanoTime() - begin).nanoseconds
+            while (pause * changes < passed) {
+                fleet.publishChange()
+                changes++
+            }
+            if (passed.inWholeMilliseconds / SAMPLE_MILLISECONDS > sampled) {
+                sampled = passed.inWholeMilliseconds / SAMPLE_MILLISECONDS
+                traffic.add(SocketBytes.read())
+            }
+            Thread.sleep(STEP_MILLISECONDS)
         }
-    }
-
-    private fun traffic(
-        pids: List<Long>,
-        before: Map<Long, TrafficCount>,
-        after: Map<Long, TrafficCount>,
-        seconds: Double,
-    ): Spread {
-        val none = TrafficCount(0, 0)
-        return Spread.of(
-            pids.map { pid ->
-                val bytes = (after[pid] ?: none) - (before[pid] ?: none)
-                (bytes.sent + bytes.received) / seconds
-            },
-        )
+        traffic.add(SocketBytes.read())
     }
 
     /** The time starts when the log service has answered the append; entries are asked every few milliseconds. */
@@ -148,5 +144,9 @@
 
     /** `/entries` has the offset too and, unlike `/state`, computes no digest. */
     private fun appliedOffset(entry: FleetEntry): Long =
-        HttpCalls.send("GET", "${entry.operator}/entries").json["offset"]?.jsonPrimitive?.long ?: 0
+        HttpCalls
+            .send("GET", "${entry.operator}/entries")
+            .json["offset"]
+            ?.jsonPrimitive
+            ?.long ?: 0
 }
--- a/load/src/main/kotlin/dogwoodgrade/load/SocketBytes.kt
+++ b/load/src/main/kotlin/dogwoodgrade/load/SocketBytes.kt
@@ -1,33 +1,32 @@
 package dogwoodgrade.load
 
-/** Payload bytes that the sockets of one process have sent and received, without TCP and IP headers. */
+/** Payload bytes that sockets have sent and received, without TCP and IP headers. */
 internal data class TrafficCount(val sent: Long, val received: Long) {
-    operator fun plus(other: TrafficCount): TrafficCount =
-        TrafficCount(sent + other.sent, received + other.received)
+    /** Sum of both directions. */
+    val total: Long get() = sent + received
+}
 
-    operator fun minus(other: TrafficCount): TrafficCount =
-        TrafficCount(sent - other.sent, received - other.received)
+/** One end of an open TCP connection. */
+internal data class SocketEnd(val process: Long, val addresses: List<String>) {
+    /** Whether one of the two addresses has one of [ports]. */
+    fun uses(ports: Set<Int>): Boolean = addresses.any { it.substringAfterLast(':').toIntOrNull() in ports }
 }
 
-/**
- * Counts of the kernel for open TCP sockets, read with `ss -tinpH`.
- *
- * The counts of a socket are gone when it is closed; sockets between entries and to the log service stay open.
- */
+/** Counts of the kernel for the open TCP sockets, read with `ss -tinpH`. */
 internal object SocketBytes {
     private val ProcessField = Regex("""pid=(\d+)""")
     private val SentField = Regex("""bytes_sent:(\d+)""")
     private val ReceivedField = Regex("""bytes_received:(\d+)""")
 
-    /** Returns the counts per process for the sockets of which an end has one of [ports]. */
-    fun perProcess(ports: Set<Int>): Map<Long, TrafficCount> {
+    /** Returns the counts of all open sockets. */
+    fun read(): Map<SocketEnd, TrafficCount> {
         val process = ProcessBuilder("ss", "-tinpH").start()
-        return parse(process.inputReader().use { it.readLines() }, ports)
+        return parse(process.inputReader().use { it.readLines() })
     }
 
     /** Parses pairs of lines: addresses with the process, then the counts. */
-    fun parse(lines: List<String>, ports: Set<Int>): Map<Long, TrafficCount> {
-        val totals = HashMap<Long, TrafficCount>()
+    fun parse(lines: List<String>): Map<SocketEnd, TrafficCount> {
+        val result = HashMap<SocketEnd, TrafficCount>()
         for ((head, counts) in lines.zipWithNext()) {
             val pid = ProcessField
                 .find(head)
@@ -35,14 +34,9 @@
                 ?.get(1)
                 ?.toLong() ?: continue
             val addresses = head.trim().split(Regex("\\s+")).subList(3, 5)
-            if (addresses.none { it.substringAfterLast(':').toIntOrNull() in ports }) continue
-            totals.merge(
-                pid,
-                TrafficCount(valueOf(SentField, counts), valueOf(ReceivedField, counts)),
-                TrafficCount::plus,
-            )
+            result[SocketEnd(pid, addresses)] = TrafficCount(valueOf(SentField, counts), valueOf(ReceivedField, counts))
         }
-        return totals
+        return result
     }
 
     private fun valueOf(field: Regex, text: String): Long = field
@@ -51,3 +45,27 @@
         ?.get(1)
         ?.toLong() ?: 0
 }
+
+/**
+ * Adds up what sockets transfer between samples. The counts of a socket are gone when it is closed, so that what it
+ * transferred after the last sample is missing; a new socket counts from zero.
+ */
+internal class TrafficSum {
+    private var last: Map<SocketEnd, TrafficCount>? = null
+    private val totals = HashMap<SocketEnd, Long>()
+
+    /** Adds what was transferred since the last sample; the first sample only sets the start. */
+    fun add(sample: Map<SocketEnd, TrafficCount>) {
+        val before = last
+        if (before != null) {
+            for ((socket, count) in sample) {
+                totals.merge(socket, count.total - (before[socket]?.total ?: 0), Long::plus)
+            }
+        }
+        last = sample
+    }
+
+    /** Returns the bytes sent and received by [process] on connections with one of [ports]. */
+    fun bytesOf(process: Long, ports: Set<Int>): Long =
+        totals.filterKeys { it.process == process && it.uses(ports) }.values.sum()
+}
