Fix control-cost for rows without changes

Cause: a row without changes multiplied an infinite pause by zero, which ended the program with an exception. Change: the number of changes due is worked out from the time passed. Conclusion: rows with and without changes share one loop.

--- a/load/src/main/kotlin/dogwoodgrade/load/ControlCost.kt
+++ b/load/src/main/kotlin/dogwoodgrade/load/ControlCost.kt
@@ -9,7 +9,6 @@
 import java.util.concurrent.CompletableFuture
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.nanoseconds
-import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 
 private const val SETTLE_MILLISECONDS = 5_000L
@@ -101,13 +100,12 @@
     /** Sockets are sampled several times a second, because an entry closes connections that were idle for some time. */
     private fun waitAndChange(fleet: ControlFleet, traffic: TrafficSum, begin: Long, changesPerSecond: Int) {
         val end = begin + options.time.inWholeNanoseconds
-        val pause = if (changesPerSecond == 0) Duration.INFINITE else 1.seconds / changesPerSecond
         var changes = 0
         var sampled = 0L
         traffic.add(SocketBytes.read())
         while (System.nanoTime() < end) {
             val passed = (System.nanoTime() - begin).nanoseconds
-            while (pause * changes < passed) {
+            while (changes < passed.toDouble(DurationUnit.SECONDS) * changesPerSecond) {
                 fleet.publishChange()
                 changes++
             }
