--- a/entry/src/main/kotlin/dogwoodgrade/entry/PermitReporter.kt
+++ b/entry/src/main/kotlin/dogwoodgrade/entry/PermitReporter.kt
@@ -4,9 +4,6 @@
 import dogwoodgrade.limits.AppendKnowledge
 import dogwoodgrade.logclient.AppendResult
 import kotlinx.coroutines.channels.Channel
-import kotlinx.coroutines.delay
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
 
 /**
@@ -31,7 +28,6 @@
         while (true) {
             wake.receive()
             report()
-            delay(PlanPause)
         }
     }
 
@@ -48,12 +44,4 @@
             }
         tables.permits.recordAppend(report.sequence, knowledge)
     }
-
-    private companion object {
-        /**
-         * Every arrival and every end of a request asks for a plan, which reads the demand of all teams under the lock
-         * of the queues. The pause bounds this to 100 plans per second; the first one after a pause is not delayed.
-         */
-        val PlanPause: Duration = 10.milliseconds
-    }
 }
