--- a/scenarios/src/main/kotlin/dogwoodgrade/scenarios/ProgramProcess.kt
+++ b/scenarios/src/main/kotlin/dogwoodgrade/scenarios/ProgramProcess.kt
@@ -51,7 +51,7 @@
         /** Options of the virtual machine besides the heap. */
         public val DefaultOptions: List<String> = listOf("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1")
 
-        /** Starts the program with the main class [mainClass]; its log goes to [logFile]; [options] are for the virtual machine. */
+        /** Starts [mainClass]; its log goes to [logFile]; [options] are for the virtual machine. */
         public fun start(
             name: String,
             mainClass: String,
