Split the dispatcher and count refusals at admission

Change: CallStarter, AttemptHandler and CallEndings hold one concern each; the unused event is gone; refusals at admission count in dogwoodgrade_early_refusals_total.

Conclusion: behaviour is the same but for the added metric.

--- /dev/null
+++ b/entry/src/main/kotlin/dogwoodgrade/entry/AttemptHandler.kt
@@ -0,0 +1,108 @@
+package dogwoodgrade.entry
+
+import dogwoodgrade.model.Execution
+import dogwoodgrade.model.ResultCode
+import dogwoodgrade.model.TeamName
+import dogwoodgrade.routing.AttemptDecision
+import dogwoodgrade.routing.AttemptResult
+import dogwoodgrade.routing.RequestFacts
+import dogwoodgrade.routing.Reservation
+import dogwoodgrade.routing.RetryBudgetAnswer
+import dogwoodgrade.routing.RunEvidence
+import dogwoodgrade.routing.decideAfterAttempt
+import dogwoodgrade.routing.wantsRetry
+import dogwoodgrade.shares.OfferResult
+import dogwoodgrade.shares.RunEnd
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/** Handles the end of attempts: frees the slot, settles the permit, and answers or retries the call. */
+internal class AttemptHandler(
+    private val tables: EntryTables,
+    private val ports: DispatcherPorts,
+    private val endings: CallEndings,
+    private val starter: CallStarter,
+) {
+    /** Learns from an attempt that has ended, and decides what follows. */
+    fun ended(call: Call, event: EntryEvent.AttemptEnded) {
+        val now = ports.now()
+        val result = event.end.result
+        tables.endpoints.finish(event.reservation, result, now)
+        call.team?.let { settlePermit(it, result, event.reservation, now) }
+        when (result) {
+            AttemptResult.NotSent, AttemptResult.Busy -> endings.putBack(call, now)
+            else -> decide(call, event, now)
+        }
+        starter.dispatch(call.pool)
+    }
+
+    /** A task that may still run keeps its permit until its lease has expired at the worker. */
+    private fun settlePermit(team: TeamName, result: AttemptResult, reservation: Reservation, now: Instant) {
+        val remaining = reservation.leaseUntil + ClockSkew - now
+        if (result.evidence == RunEvidence.Unknown && remaining.isPositive()) {
+            ports.later(remaining, EntryEvent.LeaseExpired(team))
+        } else {
+            endings.releasePermit(team)
+        }
+    }
+
+    private fun decide(call: Call, event: EntryEvent.AttemptEnded, now: Instant) {
+        val result = event.end.result
+        val next =
+            call.copy(
+                tried = call.tried + event.reservation.endpoint.instance,
+                attempts = call.attempts + 1,
+            )
+        val facts =
+            RequestFacts(
+                call.request.idempotent,
+                call.deadline,
+                next.attempts,
+                event.end.headForwarded,
+                call.mayHaveRun,
+            )
+        val wants = !call.reply.isAnswered && wantsRetry(facts, result, now)
+        val budget = if (wants) takeRetry(call, now) else RetryBudgetAnswer.Exhausted
+        when (val decision = decideAfterAttempt(facts, result, budget, now, ports.random)) {
+            AttemptDecision.ForwardResponse -> endings.complete(call, RunEnd.Completed, ResultCode.Accepted, now)
+            is AttemptDecision.Retry -> {
+                val ran = result.evidence == RunEvidence.Unknown
+                tables.requests.replace(next.copy(mayHaveRun = call.mayHaveRun || ran))
+                ports.later(decision.backoff, EntryEvent.RetryDue(call.identifier, ran))
+            }
+            is AttemptDecision.RefuseNotRun -> {
+                call.reply.refuse(
+                    CallerRefusal(decision.code, "no attempt at an endpoint ran the request", retryAfter = 1.seconds),
+                )
+                endings.complete(call, RunEnd.NotRun, decision.code, now)
+            }
+            AttemptDecision.ReportOutcomeUnknown -> {
+                val message = "the request may have run; its response was lost"
+                call.reply.refuse(CallerRefusal(ResultCode.OutcomeUnknown, message, Execution.Unknown))
+                endings.complete(call, RunEnd.Aborted, ResultCode.OutcomeUnknown, now)
+            }
+            AttemptDecision.BreakCallerConnection -> endings.complete(
+                call,
+                RunEnd.Aborted,
+                ResultCode.AnswerBroken,
+                now,
+            )
+        }
+    }
+
+    private fun takeRetry(call: Call, now: Instant): RetryBudgetAnswer =
+        call.team?.let { tables.budgets.takeRetry(it, now) } ?: RetryBudgetAnswer.Granted
+
+    /** Queues [call] again after its backoff; [ran] tells whether the attempt before may have run. */
+    fun retry(call: Call, ran: Boolean) {
+        val now = ports.now()
+        if (!ran) {
+            endings.putBack(call, now)
+        } else {
+            tables.queues.end(call.identifier, RunEnd.Aborted, now)
+            val offered = tables.queues.offer(call.toWaitingRequest(), now)
+            if (offered is OfferResult.Refused) endings.refuse(offered.refusal)
+        }
+        starter.dispatch(call.pool)
+    }
+}
--- a/entry/src/main/kotlin/dogwoodgrade/entry/Call.kt
+++ b/entry/src/main/kotlin/dogwoodgrade/entry/Call.kt
@@ -9,6 +9,7 @@
 import dogwoodgrade.model.TeamName
 import dogwoodgrade.routing.RequestFingerprint
 import dogwoodgrade.shares.QueueOwner
+import dogwoodgrade.shares.WaitingRequest
 import kotlin.time.Duration
 import kotlin.time.Instant
 
@@ -56,6 +57,10 @@
     val attempts: Int = 0,
     val mayHaveRun: Boolean = false,
 ) {
+    /** Returns the form of this call in the queues. */
+    fun toWaitingRequest(): WaitingRequest =
+        WaitingRequest(identifier, pool, owner, request.requestClass, arrival, deadline)
+
     /** The team that is charged, or `null` on an open queue. */
     val team: TeamName? get() = (owner as? QueueOwner.Team)?.name
 }
--- a/entry/src/main/kotlin/dogwoodgrade/entry/EntryEvent.kt
+++ b/entry/src/main/kotlin/dogwoodgrade/entry/EntryEvent.kt
@@ -1,6 +1,5 @@
 package dogwoodgrade.entry
 
-import dogwoodgrade.model.PoolName
 import dogwoodgrade.model.RequestIdentifier
 import dogwoodgrade.model.TeamName
 import dogwoodgrade.routing.Reservation
@@ -27,9 +26,6 @@
     /** A task whose outcome is unknown has lost its lease, so its permit is free again. */
     data class LeaseExpired(val team: TeamName) : EntryEvent
 
-    /** Capacity of a pool may have become free. */
-    data class CapacityChanged(val pool: PoolName) : EntryEvent
-
     /** A regular tick: waiting requests may have expired, and permits or slots may have become free. */
     data object Tick : EntryEvent
 }
--- a/entry/src/main/kotlin/dogwoodgrade/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/dogwoodgrade/entry/EntryProgram.kt
@@ -170,6 +170,7 @@
             demandChanged = { loops.reporter.planSoon() },
             ended = metrics::ended,
             started = metrics::started,
+            refused = metrics::refusedEarly,
         )
     }
 
--- a/entry/src/test/kotlin/dogwoodgrade/entry/DispatcherRig.kt
+++ b/entry/src/test/kotlin/dogwoodgrade/entry/DispatcherRig.kt
@@ -105,6 +105,7 @@
                 demandChanged = {},
                 ended = { _, _, _ -> },
                 started = { _, _ -> },
+                refused = {},
             ),
         )
 
