--- a/entry/src/main/kotlin/dogwoodgrade/entry/EntryLoops.kt
+++ b/entry/src/main/kotlin/dogwoodgrade/entry/EntryLoops.kt
@@ -41,7 +41,7 @@
         scope.launch { reporter.run() }
         scope.launch { join() }
         scope.launch { every(TickInterval) { tickOnce() } }
-        scope.launch { every(GossipInterval) { gossip.round(scope) } }
+        scope.launch { every(GossipInterval) { secondOnce() } }
         scope.launch { every(HousekeepingInterval) { housekeeping.run() } }
         liveList?.let { scope.launch { it.watch() } }
     }
@@ -64,12 +64,17 @@
         val before = freshness.status(time)
         freshness.update { it.tick(time) }
         if (before is FreshnessStatus.Verifying) gossip.verify(scope)
-        tables.budgets.removeIdle(time)
-        reporter.planSoon()
+        if (tables.requests.size > 0) reporter.planSoon()
         jobs.run(scope)
         tick()
     }
 
+    private fun secondOnce() {
+        gossip.round(scope)
+        tables.budgets.removeIdle(now())
+        reporter.planSoon()
+    }
+
     /** Announces this process until the record is accepted. Without it the entry serves open queues only. */
     private suspend fun join() {
         while (!tables.control.state.isJoined(joined.identity)) {
--- a/entry/src/main/kotlin/dogwoodgrade/entry/PermitReporter.kt
+++ b/entry/src/main/kotlin/dogwoodgrade/entry/PermitReporter.kt
@@ -2,8 +2,10 @@
 
 import dogwoodgrade.control.ControlBody
 import dogwoodgrade.limits.AppendKnowledge
+import dogwoodgrade.limits.fleetReportInterval
 import dogwoodgrade.logclient.AppendResult
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
 import kotlin.time.Instant
 
 /**
@@ -28,6 +30,7 @@
         while (true) {
             wake.receive()
             report()
+            delay(fleetReportInterval(tables.control.state.entries.size) / PLANS_PER_REPORT)
         }
     }
 
@@ -44,4 +47,12 @@
             }
         tables.permits.recordAppend(report.sequence, knowledge)
     }
+
+    private companion object {
+        /**
+         * Plans within the shortest time between two reports. Every arrival and every end of a request asks for a plan,
+         * and a plan reads the permits of all teams; more plans than this cost processor time and change nothing.
+         */
+        const val PLANS_PER_REPORT = 4
+    }
 }
--- a/measure/src/main/kotlin/dogwoodgrade/measure/ControlCostCommand.kt
+++ b/measure/src/main/kotlin/dogwoodgrade/measure/ControlCostCommand.kt
@@ -31,6 +31,11 @@
             "fold by instances" to instances.map { it.toDouble() to foldCost(it) },
             "snapshot by instances" to instances.map { it.toDouble() to snapshotCost(it) },
             "permit plan by teams, 36 entries" to teams.map { it.toDouble() to planCost(it, 36) },
+            "queue and start by teams" to teams.map { it.toDouble() to cost(5_000, TableCosts.queueStep(it)) },
+            "reserve and free by endpoints" to
+                listOf(7, 38, 100).map { it.toDouble() to cost(20_000, TableCosts.reserveStep(it)) },
+            "gossip round by entries" to
+                listOf(8, 16, 36, 72).map { it.toDouble() to cost(200, TableCosts.gossipStep(it)) },
         )
         val rows = costs.map { (label, points) ->
             val line = fitLine(points)
@@ -39,7 +44,12 @@
         }
         val bytes = instances.map { SnapshotCodec.encode(stateOf(it)).size.toDouble() }
         val sizes = Row("snapshot bytes by instances", seeds.first(), listOf(bytes.first(), bytes.last()) + NoLine)
-        return Report(name, Columns, rows + sizes, Plot("Processor time", "size", "microseconds", costs))
+        val heaps = Row(
+            "heap bytes of the state by instances",
+            seeds.first(),
+            listOf(heapOf(35), heapOf(8_000)) + NoLine,
+        )
+        return Report(name, Columns, rows + sizes + heaps, Plot("Processor time", "size", "microseconds", costs))
     }
 
     /** Microseconds of processor time per call, after a warm-up of as many calls. */
@@ -56,6 +66,18 @@
         return ControlState.Empty.copy(configuration = fleetOf(size))
     }
 
+    /** Heap of the folded state without permits and jobs, as the difference after a garbage collection. */
+    private fun heapOf(instances: Int): Double {
+        val memory = ManagementFactory.getMemoryMXBean()
+        memory.gc()
+        val before = memory.heapMemoryUsage.used
+        val state = stateOf(instances)
+        memory.gc()
+        val used = memory.heapMemoryUsage.used - before
+        check(state.configuration.instances.size >= instances) { "the fleet has too few instances" }
+        return used.toDouble()
+    }
+
     private fun foldCost(instances: Int): Double {
         var state = stateOf(instances)
         val name = InstanceName("instance-0")
--- a/scenarios/src/main/kotlin/dogwoodgrade/scenarios/Fleet.kt
+++ b/scenarios/src/main/kotlin/dogwoodgrade/scenarios/Fleet.kt
@@ -178,10 +178,12 @@
         val identifier = RecordIdentifier(UUID.randomUUID().toString())
         val record = ControlRecord(identifier, schemaVersion, "fleet", ControlBody.Configure(change))
         val text = RecordCodec.encode(record).decodeToString()
-        val answer = HttpCalls.send("POST", "http://127.0.0.1:$logPort/streams/control/records", text)
-        return answer.json
-            .getValue("offset")
-            .jsonPrimitive.long
+        // After a lost answer the same record is appended again; the fold drops the copy.
+        repeat(PUBLISH_ATTEMPTS) {
+            val answer = HttpCalls.send("POST", "http://127.0.0.1:$logPort/streams/control/records", text)
+            answer.json["offset"]?.let { return it.jsonPrimitive.long }
+        }
+        error("the log service gave no offset in $PUBLISH_ATTEMPTS attempts")
     }
 
     /** Sets faults of the log service, see the stand-in. */
@@ -232,6 +234,7 @@
 
     public companion object {
         private const val AWAIT_SECONDS = 60
+        private const val PUBLISH_ATTEMPTS = 5
         private const val POLL_MILLISECONDS = 50L
 
         /** Returns a port that is free now. */
