Serve jobs on the users' platform, thin path from end to end

Cause: nothing of the code spoke to the platform. Its store, executors and callers need a client, and its jobs are steps of tasks under leases.

Change: libraries scheduling, ownership and capacity, the adapter platform and the program node. Any entry instance makes submissions durable; one owner, chosen by a conditional append and fenced by its epoch, schedules all pools.

--- /dev/null
+++ b/node/src/main/kotlin/dogwoodgrade/node/FleetRecords.kt
@@ -0,0 +1,235 @@
+package dogwoodgrade.node
+
+import dogwoodgrade.ownership.OwnershipRecord
+import dogwoodgrade.scheduling.Job
+import dogwoodgrade.scheduling.JobIdentifier
+import dogwoodgrade.scheduling.JobProgress
+import dogwoodgrade.scheduling.JobState
+import dogwoodgrade.scheduling.Repetition
+import dogwoodgrade.scheduling.Resources
+import dogwoodgrade.scheduling.Step
+import dogwoodgrade.scheduling.TaskPosition
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
+
+/**
+ * Records of this project in the platform's log: jobs, cancellations, progress and ownership.
+ *
+ * Names are short because each record is stored and read by all entry instances.
+ */
+internal object FleetRecords {
+    /** Key of the ownership record. */
+    const val OWNER_KEY: String = "owner"
+    private const val JOB_PREFIX = "job/"
+    private const val CANCELLATION_PREFIX = "cancel/"
+    private const val PROGRESS_PREFIX = "progress/"
+
+    private val logger = KotlinLogging.logger {}
+    private val json =
+        Json {
+            ignoreUnknownKeys = true
+            encodeDefaults = false
+        }
+
+    fun jobKey(job: JobIdentifier): String = JOB_PREFIX + job
+
+    fun cancellationKey(job: JobIdentifier): String = CANCELLATION_PREFIX + job
+
+    fun progressKey(job: JobIdentifier): String = PROGRESS_PREFIX + job
+
+    fun jobOf(key: String): JobIdentifier? = identifier(key, JOB_PREFIX)
+
+    fun cancelledJobOf(key: String): JobIdentifier? = identifier(key, CANCELLATION_PREFIX)
+
+    fun progressJobOf(key: String): JobIdentifier? = identifier(key, PROGRESS_PREFIX)
+
+    private fun identifier(key: String, prefix: String): JobIdentifier? =
+        if (key.startsWith(prefix)) JobIdentifier(key.removePrefix(prefix)) else null
+
+    fun encode(job: Job): ByteArray = json.encodeToString(JobRecord.of(job)).encodeToByteArray()
+
+    fun decodeJob(identifier: JobIdentifier, value: ByteArray): Job? =
+        decode("job $identifier") { json.decodeFromString<JobRecord>(value.decodeToString()).toJob(identifier) }
+
+    fun encode(progress: JobProgress): ByteArray = json.encodeToString(ProgressRecord.of(progress)).encodeToByteArray()
+
+    fun decodeProgress(value: ByteArray): JobProgress? =
+        decode("progress") { json.decodeFromString<ProgressRecord>(value.decodeToString()).toProgress() }
+
+    fun encode(owner: OwnershipRecord): ByteArray =
+        json
+            .encodeToString(OwnerRecord(owner.epoch, owner.owner, owner.incarnation, owner.resigned))
+            .encodeToByteArray()
+
+    fun decodeOwner(value: ByteArray): OwnershipRecord? =
+        decode("owner") {
+            val record = json.decodeFromString<OwnerRecord>(value.decodeToString())
+            OwnershipRecord(record.epoch, record.owner, record.incarnation, record.resigned)
+        }
+
+    private fun <T> decode(what: String, read: () -> T): T? =
+        try {
+            read()
+        } catch (failure: SerializationException) {
+            logger.warn { "records: skipped malformed $what: ${failure.message}" }
+            null
+        }
+}
+
+@Serializable
+private data class OwnerRecord(
+    val epoch: Long,
+    val owner: String,
+    val incarnation: String,
+    val resigned: Boolean = false,
+)
+
+@Serializable
+private data class JobRecord(
+    @SerialName("q") val queue: String,
+    @SerialName("p") val pool: String,
+    @SerialName("t") val team: String? = null,
+    @SerialName("x") val payload: String = "",
+    @SerialName("a") val acceptedAt: Long,
+    @SerialName("s") val steps: List<StepRecord>,
+    @SerialName("r") val repetition: RepetitionRecord? = null,
+) {
+    fun toJob(identifier: JobIdentifier): Job =
+        Job(
+            identifier,
+            queue,
+            pool,
+            team,
+            payload,
+            steps.map { it.toStep() },
+            repetition?.let {
+                Repetition(it.occurrences, Instant.fromEpochMilliseconds(it.start), it.interval.milliseconds)
+            },
+            Instant.fromEpochMilliseconds(acceptedAt),
+        )
+
+    companion object {
+        fun of(job: Job): JobRecord =
+            JobRecord(
+                job.queue,
+                job.pool,
+                job.team,
+                job.payload,
+                job.acceptedAt.toEpochMilliseconds(),
+                job.steps.map { StepRecord.of(it) },
+                job.repetition?.let {
+                    RepetitionRecord(it.occurrences, it.start.toEpochMilliseconds(), it.interval.inWholeMilliseconds)
+                },
+            )
+    }
+}
+
+@Serializable
+private data class RepetitionRecord(
+    val occurrences: Int,
+    val start: Long,
+    val interval: Long,
+)
+
+@Serializable
+private data class StepRecord(
+    @SerialName("n") val count: Int,
+    @SerialName("c") val processor: Long = 0,
+    @SerialName("m") val memory: Long = 0,
+    @SerialName("g") val accelerators: Long = 0,
+    @SerialName("e") val estimate: Long = 0,
+    @SerialName("d") val dependencies: List<Int> = emptyList(),
+    @SerialName("k") val checkpoints: Boolean = false,
+    @SerialName("gang") val gang: Boolean = false,
+    @SerialName("rl") val rackLocal: Boolean = false,
+    @SerialName("l") val requiredLabel: String? = null,
+    @SerialName("pr") val preferredRack: String? = null,
+    @SerialName("pe") val tasksPerExecutor: Int = 0,
+    @SerialName("long") val longRunning: Boolean = false,
+    @SerialName("i") val image: String? = null,
+    @SerialName("tl") val targetLatency: Long? = null,
+    @SerialName("sp") val usesSpareCapacity: Boolean = false,
+    @SerialName("b") val unavailabilityBudget: Int = 0,
+) {
+    fun toStep(): Step =
+        Step(
+            count,
+            Resources(processor, memory, accelerators),
+            estimate.milliseconds,
+            dependencies,
+            checkpoints,
+            gang,
+            rackLocal,
+            requiredLabel,
+            preferredRack,
+            tasksPerExecutor,
+            longRunning,
+            image,
+            targetLatency?.milliseconds,
+            usesSpareCapacity,
+            unavailabilityBudget,
+        )
+
+    companion object {
+        fun of(step: Step): StepRecord =
+            StepRecord(
+                step.count,
+                step.request.processor,
+                step.request.memory,
+                step.request.accelerators,
+                step.estimate.inWholeMilliseconds,
+                step.dependencies,
+                step.checkpoints,
+                step.gang,
+                step.rackLocal,
+                step.requiredLabel,
+                step.preferredRack,
+                step.tasksPerExecutor,
+                step.longRunning,
+                step.image,
+                step.targetLatency?.inWholeMilliseconds,
+                step.usesSpareCapacity,
+                step.unavailabilityBudget,
+            )
+    }
+}
+
+/** Positions are written as `occurrence.step.index`. */
+@Serializable
+private data class ProgressRecord(
+    @SerialName("s") val state: JobState,
+    @SerialName("d") val completed: List<String> = emptyList(),
+    @SerialName("f") val failures: Map<String, Int> = emptyMap(),
+    @SerialName("c") val checkpoints: Map<String, String> = emptyMap(),
+) {
+    fun toProgress(): JobProgress =
+        JobProgress(
+            state,
+            completed.mapTo(mutableSetOf()) { position(it) },
+            failures.mapKeys { (key, _) -> position(key) },
+            checkpoints.mapKeys { (key, _) -> position(key) },
+        )
+
+    companion object {
+        fun of(progress: JobProgress): ProgressRecord =
+            ProgressRecord(
+                progress.state,
+                progress.completed.map { text(it) },
+                progress.failures.mapKeys { (key, _) -> text(key) },
+                progress.checkpoints.mapKeys { (key, _) -> text(key) },
+            )
+
+        private fun text(position: TaskPosition) = "${position.occurrence}.${position.step}.${position.index}"
+
+        private fun position(text: String): TaskPosition {
+            val numbers = text.split('.').map { it.toIntOrNull() ?: throw SerializationException("position \"$text\"") }
+            if (numbers.size != 3) throw SerializationException("position \"$text\" has ${numbers.size} parts")
+            return TaskPosition(numbers[0], numbers[1], numbers[2])
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/dogwoodgrade/node/JobIntake.kt
@@ -0,0 +1,126 @@
+package dogwoodgrade.node
+
+import dogwoodgrade.platform.AppendOutcome
+import dogwoodgrade.platform.Producer
+import dogwoodgrade.platform.StoreClient
+import dogwoodgrade.platform.Topic
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import java.util.concurrent.atomic.AtomicReference
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
+
+private val logger = KotlinLogging.logger {}
+
+/** Records that may wait to be appended; beyond it callers are refused. */
+private const val WAITING_RECORDS = 512
+
+/** Most records of one append. */
+private const val RECORDS_PER_APPEND = 64
+
+/** Attempts of an append that was refused without effect before its callers are refused. */
+private const val REFUSED_ATTEMPTS = 3
+
+/** Pause between two attempts. */
+private val attemptPause: Duration = 40.milliseconds
+
+/** Longest time that a record waits behind an append of unknown outcome before its caller is refused. */
+private val longestQueueing: Duration = 400.milliseconds
+
+/** What became of a record. */
+internal enum class IntakeOutcome { Durable, NotDone, Unknown }
+
+private enum class IntakePhase { Waiting, Sent, Withdrawn }
+
+/** A record on its way to the log. Its phase decides the race between an append and a caller that gives up. */
+private class IntakeItem(
+    val key: String,
+    val value: ByteArray?,
+    val enqueuedAt: Instant,
+) {
+    val outcome = CompletableDeferred<IntakeOutcome>()
+    private val phase = AtomicReference(IntakePhase.Waiting)
+
+    /** Returns `false` if the record was withdrawn and must not be appended. */
+    fun send(): Boolean = phase.compareAndSet(IntakePhase.Waiting, IntakePhase.Sent)
+
+    /** Returns `false` if an append with the record may have been executed. */
+    fun withdraw(): Boolean = phase.compareAndSet(IntakePhase.Waiting, IntakePhase.Withdrawn)
+}
+
+/**
+ * Makes submissions and cancellations durable.
+ *
+ * One append is under way at a time; what comes meanwhile goes into the next. An append without an answer is repeated
+ * under the same sequence number until its outcome is known, so that a refusal is always true.
+ */
+internal class JobIntake(
+    private val store: StoreClient,
+    private val producer: String,
+    private val clock: NodeClock,
+    private val contact: StoreContact,
+) {
+    private val queue = Channel<IntakeItem>(WAITING_RECORDS)
+    private var sequence = 0L
+
+    /** Appends a record and waits at most [limit] for the outcome. */
+    suspend fun append(key: String, value: ByteArray?, limit: Duration): IntakeOutcome {
+        val item = IntakeItem(key, value, clock.now())
+        if (!queue.trySend(item).isSuccess) return IntakeOutcome.NotDone
+        val outcome = withTimeoutOrNull(limit) { item.outcome.await() }
+        return outcome ?: if (item.withdraw()) IntakeOutcome.NotDone else IntakeOutcome.Unknown
+    }
+
+    /** Appends until the coroutine is cancelled. */
+    suspend fun run() {
+        while (true) {
+            val batch = mutableListOf(queue.receive())
+            while (batch.size < RECORDS_PER_APPEND) batch += queue.tryReceive().getOrNull() ?: break
+            val current = batch.filter { isCurrent(it) }
+            if (current.isNotEmpty()) appendBatch(current)
+        }
+    }
+
+    private fun isCurrent(item: IntakeItem): Boolean {
+        if (clock.now() - item.enqueuedAt <= longestQueueing) return item.send()
+        item.withdraw()
+        item.outcome.complete(IntakeOutcome.NotDone)
+        return false
+    }
+
+    private suspend fun appendBatch(batch: List<IntakeItem>) {
+        val records = batch.map { it.key to it.value }
+        val identity = Producer(producer, 1, sequence + 1)
+        var uncertain = false
+        var refused = 0
+        while (true) {
+            val sentAt = clock.now()
+            val outcome = store.append(Topic.Jobs, records, identity)
+            contact.observed(
+                outcome !is AppendOutcome.Unknown && outcome !is AppendOutcome.NotDone,
+                sentAt,
+                clock.now(),
+            )
+            when (outcome) {
+                is AppendOutcome.Appended -> {
+                    sequence++
+                    batch.forEach { it.outcome.complete(IntakeOutcome.Durable) }
+                    return
+                }
+                is AppendOutcome.Unknown -> uncertain = true
+                is AppendOutcome.EndMoved, AppendOutcome.Fenced -> error("unconditional append was $outcome")
+                is AppendOutcome.NotDone -> refused++
+            }
+            if (!uncertain && refused >= REFUSED_ATTEMPTS) {
+                logger.warn { "intake: append refused records=${batch.size} outcome=$outcome" }
+                batch.forEach { it.outcome.complete(IntakeOutcome.NotDone) }
+                return
+            }
+            delay(attemptPause)
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnerWriter.kt
@@ -0,0 +1,133 @@
+package dogwoodgrade.node
+
+import dogwoodgrade.ownership.Lease
+import dogwoodgrade.ownership.OwnershipPolicy
+import dogwoodgrade.ownership.OwnershipRecord
+import dogwoodgrade.platform.AppendOutcome
+import dogwoodgrade.platform.Producer
+import dogwoodgrade.platform.StoreClient
+import dogwoodgrade.platform.Topic
+import dogwoodgrade.scheduling.ProgressBatch
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
+
+private val logger = KotlinLogging.logger {}
+
+/** Name under which owners append; the store fences lower epochs of it. */
+internal const val OWNER_PRODUCER: String = "owner"
+
+/** Pause between two appends, in which changes gather. */
+private val gatherTime: Duration = 15.milliseconds
+
+/** Pause before an append that the store refused or left unanswered is repeated. */
+private val repeatPause: Duration = 50.milliseconds
+
+/**
+ * Makes the owner's progress durable and renews its lease: each confirmed append proves that no other owner has
+ * written before it.
+ *
+ * @param claimSequence sequence number of the claim, the first append of the epoch
+ */
+internal class OwnerWriter(
+    private val store: StoreClient,
+    private val fleet: FleetTable,
+    private val jobs: JobTable,
+    private val ownership: OwnershipTable,
+    private val record: OwnershipRecord,
+    private val policy: OwnershipPolicy,
+    private val clock: NodeClock,
+    private val contact: StoreContact,
+    claimSequence: Long,
+    private val onDurable: () -> Unit,
+) {
+    private val changed = Channel<Unit>(Channel.CONFLATED)
+    private var sequence = claimSequence
+    private var renewedAt = clock.now()
+
+    @Volatile
+    private var resigning = false
+
+    /** Lets the writer look for changes. */
+    fun notifyChanged() {
+        changed.trySend(Unit)
+    }
+
+    /** Lets the writer append a resignation as its last record. */
+    fun resign() {
+        resigning = true
+        notifyChanged()
+    }
+
+    /** Appends until the owner resigns or another one takes over; returns why it ended. */
+    suspend fun run(): String {
+        while (true) {
+            val pause = (renewedAt + policy.renewEvery - clock.now()).coerceAtLeast(Duration.ZERO)
+            withTimeoutOrNull(pause) { changed.receive() }
+            val last = resigning
+            val now = clock.now()
+            val batch = fleet.withSchedule { it.takeChanges(now) }
+            val renew = last || now - renewedAt >= policy.renewEvery / 2
+            if (batch == null && !renew) continue
+            if (!append(batch, renew, last)) return "fenced"
+            if (last) return "resigned"
+            delay(gatherTime)
+        }
+    }
+
+    private suspend fun append(batch: ProgressBatch?, renew: Boolean, last: Boolean): Boolean {
+        val records = mutableListOf<Pair<String, ByteArray?>>()
+        batch?.progress?.forEach { (job, progress) ->
+            records += FleetRecords.progressKey(job) to FleetRecords.encode(progress)
+        }
+        batch?.forgotten?.forEach { records += FleetRecords.progressKey(it) to null }
+        if (renew ||
+            records.isEmpty()
+        ) {
+            records += FleetRecords.OWNER_KEY to FleetRecords.encode(record.copy(resigned = last))
+        }
+        val sentAt = appendUntilKnown(records) ?: return false
+        if (renew) renewedAt = sentAt
+        ownership.own(Lease(record.epoch, sentAt))
+        if (batch != null) {
+            batch.progress.forEach { (job, progress) -> jobs.applyProgress(job, progress) }
+            jobs.forget(batch.forgotten)
+            fleet.withSchedule { it.durable(batch) }
+        }
+        onDurable()
+        return true
+    }
+
+    /** Returns when the append was first sent, or `null` if another owner has taken over. */
+    private suspend fun appendUntilKnown(records: List<Pair<String, ByteArray?>>): Instant? {
+        val producer = Producer(OWNER_PRODUCER, record.epoch, sequence + 1)
+        var uncertainSince: Instant? = null
+        while (true) {
+            val sentAt = clock.now()
+            val outcome = store.append(Topic.Progress, records, producer)
+            contact.observed(
+                outcome !is AppendOutcome.Unknown && outcome !is AppendOutcome.NotDone,
+                sentAt,
+                clock.now(),
+            )
+            when (outcome) {
+                is AppendOutcome.Appended -> {
+                    sequence++
+                    return uncertainSince ?: sentAt
+                }
+                AppendOutcome.Fenced -> return null
+                is AppendOutcome.Unknown -> {
+                    uncertainSince = uncertainSince ?: sentAt
+                    logger.warn { "owner: append without answer records=${records.size} reason=${outcome.reason}" }
+                }
+                is AppendOutcome.NotDone -> logger.debug { "owner: append refused reason=${outcome.reason}" }
+                is AppendOutcome.EndMoved -> error("unconditional append was $outcome")
+            }
+            delay(repeatPause)
+        }
+    }
+}
--- /dev/null
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ExecutorRow.kt
@@ -0,0 +1,50 @@
+package dogwoodgrade.scheduling
+
+import kotlin.time.Duration
+import kotlin.time.Instant
+
+/**
+ * What is believed about one executor.
+ *
+ * The executor's clock is estimated from below: a response shows the clock before it travelled. Deadlines that are
+ * computed from the estimate therefore end early, never late.
+ */
+internal class ExecutorRow(
+    var report: ExecutorReport,
+) {
+    val runs: MutableMap<TaskName, ActiveRun> = mutableMapOf()
+    var used: Resources = Resources.None
+    var clock: Duration? = null
+    var clockReadAt: Instant = Instant.DISTANT_PAST
+    var grantedUntil: Duration = Duration.ZERO
+    var listedAt: Instant? = null
+    var reachable: Boolean = true
+    var vanished: Boolean = false
+    var retiring: Boolean = false
+    var processedEnd: Long = 0
+    var durableEnd: Long = 0
+    var failedJobs: Set<JobIdentifier> = emptySet()
+    var failuresInRow: Int = 0
+    var avoidUntil: Instant = Instant.DISTANT_PAST
+
+    val identifier: ExecutorIdentifier
+        get() = report.identifier
+
+    /** The rack is the label that is not the kind; a kind has no hyphen. */
+    val rack: String?
+        get() = report.labels.getOrNull(1)
+
+    val free: Resources
+        get() = report.capacity - used
+
+    fun estimatedClock(now: Instant): Duration? = clock?.let { it + (now - clockReadAt) }
+
+    /** Returns the latest time at which the executor's clock reaches [deadline], given its relative error. */
+    fun reaches(deadline: Duration, clockError: Double): Instant {
+        val read = clock ?: return Instant.DISTANT_FUTURE
+        return clockReadAt + (deadline - read).coerceAtLeast(Duration.ZERO) / (1.0 - clockError)
+    }
+
+    fun usable(now: Instant): Boolean =
+        !report.draining && !vanished && !retiring && reachable && listedAt != null && avoidUntil <= now
+}
--- /dev/null
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetTables.kt
@@ -0,0 +1,83 @@
+package dogwoodgrade.scheduling
+
+import kotlin.time.Instant
+
+/**
+ * Jobs, executors and what connects them. All of it is guarded by the lock of [Scheduler].
+ *
+ * [activate] and [release] are the only functions that change which runs exist; they keep the totals true.
+ */
+internal class FleetTables {
+    val jobs: MutableMap<JobIdentifier, JobRow> = linkedMapOf()
+    val executors: MutableMap<ExecutorIdentifier, ExecutorRow> = linkedMapOf()
+    val readySteps: MutableMap<String, LinkedHashSet<StepRow>> = mutableMapOf()
+    val teamUse: MutableMap<String, Resources> = mutableMapOf()
+    val changed: LinkedHashSet<JobIdentifier> = linkedSetOf()
+    val stopsWanted: LinkedHashMap<TaskName, StopReason> = linkedMapOf()
+    val events: MutableList<SchedulerEvent> = mutableListOf()
+    var configuration: SchedulingConfiguration = SchedulingConfiguration()
+
+    fun task(name: TaskName): TaskRow? = jobs[name.job]?.task(name)
+
+    fun stepOf(name: TaskName): StepRow? = jobs[name.job]?.steps?.get(name.occurrence)?.getOrNull(name.step)
+
+    /** The pool that runs the job's queue now; the one recorded with the job if the queue was removed. */
+    fun poolOf(job: Job): String = configuration.queues[job.queue]?.pool ?: job.pool
+
+    fun markReady(row: StepRow) {
+        readySteps.getOrPut(poolOf(row.job.job)) { linkedSetOf() } += row
+    }
+
+    fun activate(task: TaskRow, run: ActiveRun) {
+        val step = stepOf(task.name) ?: return
+        task.active = run
+        task.phase = TaskPhase.Active
+        task.lastRun = maxOf(task.lastRun, run.run)
+        executors[run.executor]?.let {
+            it.runs[task.name] = run
+            it.used += step.step.reserved
+        }
+        step.job.job.team
+            ?.let { teamUse.merge(it, step.step.request, Resources::plus) }
+        if (step.job.state == JobState.Queued) {
+            step.job.state = JobState.Active
+            changed += task.name.job
+        }
+    }
+
+    /** Removes the task's run; the caller sets what the task does next. */
+    fun release(task: TaskRow) {
+        val run = task.active ?: return
+        val step = stepOf(task.name)
+        task.active = null
+        stopsWanted -= task.name
+        executors[run.executor]?.let {
+            if (it.runs.remove(task.name) != null && step != null) it.used -= step.step.reserved
+        }
+        if (step != null) {
+            step.job.job.team
+                ?.let { team -> teamUse[team] = (teamUse[team] ?: Resources.None) - step.step.request }
+        }
+    }
+
+    /** Lets the task wait for room again, unless its job has ended. */
+    fun requeue(task: TaskRow, now: Instant, notBefore: Instant) {
+        val step = stepOf(task.name) ?: return
+        if (task.phase == TaskPhase.Done) return
+        if (step.job.ended) {
+            task.phase = TaskPhase.Waiting
+            return
+        }
+        task.phase = TaskPhase.Ready
+        task.readySince = now
+        task.notBefore = notBefore
+        markReady(step)
+    }
+}
+
+/** Something the scheduler concluded that operators want to find in the log. */
+public data class SchedulerEvent(
+    public val job: JobIdentifier?,
+    public val executor: ExecutorIdentifier?,
+    public val text: String,
+)
--- /dev/null
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobRows.kt
@@ -0,0 +1,108 @@
+package dogwoodgrade.scheduling
+
+import kotlin.time.Duration
+import kotlin.time.Instant
+
+/** What a task is doing. */
+internal enum class TaskPhase { Waiting, Ready, Active, Done }
+
+/** How certain it is that a run is there. */
+internal enum class RunPhase { Starting, Running, Stopping }
+
+/**
+ * A run that exists or may exist on an executor.
+ *
+ * @property startDeadline time on the executor's clock after which an unanswered start cannot be executed
+ * @property confirmedAt when the executor confirmed the run, or `null` while the start has no answer
+ * @property percentSince when [percent] last changed
+ * @property pace share of its speed at which the run is allowed to work
+ */
+internal data class ActiveRun(
+    val executor: ExecutorIdentifier,
+    val run: Long,
+    val startedAt: Instant,
+    val startDeadline: Duration,
+    var phase: RunPhase = RunPhase.Starting,
+    var confirmedAt: Instant? = null,
+    var stopSentAt: Instant? = null,
+    var stopReason: StopReason? = null,
+    var checkpoint: String = "",
+    var percent: Int = -1,
+    var percentSince: Instant = startedAt,
+    var figure: Double = 0.0,
+    var pace: Int = 100,
+    var paceSentAt: Instant? = null,
+)
+
+/** A task with its execution. */
+internal data class TaskRow(
+    val name: TaskName,
+    var phase: TaskPhase = TaskPhase.Waiting,
+    var active: ActiveRun? = null,
+    var failures: Int = 0,
+    var checkpoint: String = "",
+    var notBefore: Instant = Instant.DISTANT_PAST,
+    var readySince: Instant = Instant.DISTANT_PAST,
+    var lastRun: Long = 0,
+    var lastFailedOn: ExecutorIdentifier? = null,
+)
+
+/** A step of one occurrence of a job. Identity matters, not content. */
+internal class StepRow(
+    val job: JobRow,
+    val occurrence: Int,
+    val number: Int,
+    val step: Step,
+) {
+    val tasks: List<TaskRow> =
+        List(step.count) { TaskRow(TaskName(job.job.identifier, occurrence, number, it)) }
+    var tickets: Map<ExecutorIdentifier, Ticket> = emptyMap()
+    var adviceAskedAt: Instant? = null
+
+    val completed: Boolean
+        get() = tasks.all { it.phase == TaskPhase.Done }
+
+    val hasReady: Boolean
+        get() = tasks.any { it.phase == TaskPhase.Ready }
+}
+
+/** An advisory ticket for one step on one executor. */
+internal data class Ticket(
+    val text: String,
+    val validUntil: Instant,
+)
+
+/** A job with its execution. Identity matters, not content. */
+internal class JobRow(
+    val job: Job,
+    val acceptedAfterTakeover: Boolean,
+) {
+    val steps: MutableMap<Int, List<StepRow>> = sortedMapOf()
+    var state: JobState = JobState.Queued
+    var endedAt: Instant? = null
+
+    val ended: Boolean
+        get() = state == JobState.Completed || state == JobState.Failed || state == JobState.Cancelled
+
+    fun task(name: TaskName): TaskRow? =
+        steps[name.occurrence]?.getOrNull(name.step)?.tasks?.getOrNull(name.index)
+
+    fun allTasks(): Sequence<TaskRow> = steps.values
+        .asSequence()
+        .flatten()
+        .flatMap { it.tasks }
+
+    fun progress(): JobProgress {
+        val completed = mutableSetOf<TaskPosition>()
+        val failures = mutableMapOf<TaskPosition, Int>()
+        val checkpoints = mutableMapOf<TaskPosition, String>()
+        for (row in allTasks()) {
+            val position = TaskPosition(row.name.occurrence, row.name.step, row.name.index)
+            if (row.phase == TaskPhase.Done) completed += position
+            if (ended) continue
+            if (row.failures > 0) failures[position] = row.failures
+            if (row.checkpoint.isNotEmpty() && row.phase != TaskPhase.Done) checkpoints[position] = row.checkpoint
+        }
+        return JobProgress(state, completed, failures, checkpoints)
+    }
+}
--- /dev/null
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Placement.kt
@@ -0,0 +1,83 @@
+package dogwoodgrade.scheduling
+
+import kotlin.time.Instant
+
+/**
+ * What placement may use.
+ *
+ * @property evacuated availability zones that operators have taken out
+ */
+internal data class PlacementContext(
+    val now: Instant,
+    val evacuated: Set<String>,
+    val needsTicket: Boolean,
+)
+
+/** Returns the executors on which a task of [row] may start, without regard to what is free. */
+internal fun allowedExecutors(
+    row: StepRow,
+    executors: List<ExecutorRow>,
+    context: PlacementContext,
+): List<ExecutorRow> {
+    val step = row.step
+    return executors.filter { executor ->
+        executor.usable(context.now) &&
+            executor.report.zone !in context.evacuated &&
+            (step.requiredLabel == null || step.requiredLabel in executor.report.labels) &&
+            (!context.needsTicket || hasTicket(row, executor, context.now))
+    }
+}
+
+private fun hasTicket(row: StepRow, executor: ExecutorRow, now: Instant): Boolean {
+    val ticket = row.tickets[executor.identifier]
+    return ticket != null && ticket.validUntil > now
+}
+
+/** Returns the best of [allowed] for the next task of [row], or `null` if it fits on none. */
+internal fun chooseExecutor(row: StepRow, task: TaskRow, allowed: List<ExecutorRow>): ExecutorRow? =
+    allowed
+        .filter { row.step.reserved.fitsIn(it.free) && withinSpread(row, it) }
+        .minWithOrNull(compareBy({ penalty(row, task, it) }, { fitOrder(row, it) }))
+
+private fun withinSpread(row: StepRow, executor: ExecutorRow): Boolean =
+    row.step.tasksPerExecutor == 0 ||
+        row.tasks.count { it.active?.executor == executor.identifier } < row.step.tasksPerExecutor
+
+private fun penalty(row: StepRow, task: TaskRow, executor: ExecutorRow): Int {
+    var penalty = 0
+    if (row.step.preferredRack != null && row.step.preferredRack != executor.rack) penalty += 2
+    if (task.lastFailedOn == executor.identifier) penalty += 1
+    return penalty
+}
+
+/** Long-running work spreads over executors; batch work fills the fullest, which keeps machines free to be moved. */
+private fun fitOrder(row: StepRow, executor: ExecutorRow): Long =
+    if (row.step.longRunning || row.step.usesSpareCapacity) {
+        executor.used.processor
+    } else {
+        executor.free.processor
+    }
+
+/** Returns an executor for each waiting task of a gang, or `null` if not all of them find room now. */
+internal fun placeGang(row: StepRow, allowed: List<ExecutorRow>): List<Pair<TaskRow, ExecutorRow>>? {
+    val racks = if (row.step.rackLocal) allowed.groupBy { it.rack }.values + listOf(allowed) else listOf(allowed)
+    return racks.firstNotNullOfOrNull { placeAll(row, it) }
+}
+
+private fun placeAll(row: StepRow, executors: List<ExecutorRow>): List<Pair<TaskRow, ExecutorRow>>? {
+    val free = executors.associateWithTo(mutableMapOf()) { it.free }
+    val perExecutor = mutableMapOf<ExecutorRow, Int>()
+    val placed = mutableListOf<Pair<TaskRow, ExecutorRow>>()
+    for (task in row.tasks.filter { it.phase == TaskPhase.Ready }) {
+        val limit = row.step.tasksPerExecutor
+        val chosen =
+            executors
+                .filter { row.step.reserved.fitsIn(free.getValue(it)) }
+                .filter { limit == 0 || (perExecutor[it] ?: 0) < limit }
+                .minByOrNull { free.getValue(it).processor } ?: return null
+        free[chosen] = free.getValue(chosen) - row.step.reserved
+        perExecutor.merge(chosen, 1, Int::plus)
+        placed += task to chosen
+    }
+    return placed
+}
--- /dev/null
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Resources.kt
@@ -0,0 +1,35 @@
+package dogwoodgrade.scheduling
+
+/**
+ * An amount of what executors offer and tasks request.
+ *
+ * @property processor thousandths of a core
+ * @property memory megabytes
+ * @property accelerators whole devices
+ */
+public data class Resources(
+    public val processor: Long = 0,
+    public val memory: Long = 0,
+    public val accelerators: Long = 0,
+) {
+    public operator fun plus(other: Resources): Resources =
+        Resources(processor + other.processor, memory + other.memory, accelerators + other.accelerators)
+
+    public operator fun minus(other: Resources): Resources =
+        Resources(processor - other.processor, memory - other.memory, accelerators - other.accelerators)
+
+    /** Tells whether this amount is at most [available] in each dimension. */
+    public fun fitsIn(available: Resources): Boolean =
+        processor <= available.processor && memory <= available.memory && accelerators <= available.accelerators
+
+    /** Tells whether adding [request] stays within this limit, where 0 means that a dimension is not limited. */
+    public fun admits(inUse: Resources, request: Resources): Boolean =
+        (processor == 0L || inUse.processor + request.processor <= processor) &&
+            (memory == 0L || inUse.memory + request.memory <= memory) &&
+            (accelerators == 0L || inUse.accelerators + request.accelerators <= accelerators)
+
+    public companion object {
+        /** No resources. */
+        public val None: Resources = Resources()
+    }
+}
--- /dev/null
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
@@ -0,0 +1,244 @@
+package dogwoodgrade.scheduling
+
+import kotlin.time.Duration
+import kotlin.time.Instant
+
+/**
+ * What the scheduler wants done.
+ *
+ * @property advice questions to the advisory service
+ * @property events conclusions for the log
+ */
+public data class SchedulerPlan(
+    public val orders: List<Order>,
+    public val advice: List<AdviceRequest>,
+    public val events: List<SchedulerEvent>,
+)
+
+/**
+ * Contents of a request that extends an executor's grant and asks what runs.
+ *
+ * @property deadline end of the grant on the executor's clock, or `null` to extend nothing
+ * @property durableEnd number up to which the executor may forget ends
+ */
+public data class GrantRequest(
+    public val report: ExecutorReport,
+    public val deadline: Duration?,
+    public val durableEnd: Long,
+    public val awaitsDurability: Boolean,
+    public val busy: Boolean,
+)
+
+/** Changes of jobs that have to become durable, and the ends that may be acknowledged afterwards. */
+public data class ProgressBatch(
+    public val progress: Map<JobIdentifier, JobProgress>,
+    public val forgotten: List<JobIdentifier>,
+    public val ends: Map<ExecutorIdentifier, Long>,
+    public val incarnations: Map<ExecutorIdentifier, Long>,
+)
+
+/**
+ * Schedules the jobs of all pools while this process owns them.
+ *
+ * Not thread-safe: callers hold the lock of the fleet table (number 1 in the lock order). Every function that decides
+ * takes the present time on a steady clock; [plan] also takes the time of day.
+ */
+public class Scheduler(
+    private val policy: SchedulingPolicy,
+    private val nextRun: () -> Long,
+) {
+    private val tables = FleetTables()
+    private val transitions = JobTransitions(tables, policy)
+    private val listings = ListingProcessor(tables, transitions, policy)
+    private val stops = StopPlanner(tables, listings, policy)
+    private val starts = StartPlanner(tables, policy, nextRun)
+    private val pace = PaceController(tables)
+    private val beyondEntitlement = mutableSetOf<JobIdentifier>()
+    private var executorsKnown = false
+    private var settledAt = Instant.DISTANT_PAST
+
+    /** Returns what is known of pools and their load. */
+    public fun fleet(now: Instant): FleetView = fleetView(tables, now)
+
+    /** Starts ownership; older jobs wait until [settledAt] if executors do not answer. */
+    public fun begin(settledAt: Instant) {
+        this.settledAt = settledAt
+    }
+
+    /** Applies a configuration. Versions that are not newer are ignored. */
+    public fun configure(configuration: SchedulingConfiguration) {
+        if (configuration.version <= tables.configuration.version) return
+        tables.configuration = configuration
+        val steps = tables.readySteps.values.flatten()
+        tables.readySteps.clear()
+        steps.forEach { tables.markReady(it) }
+    }
+
+    /** Adds a job, with [progress] if it is known from before. A known identifier is ignored. */
+    public fun accept(job: Job, progress: JobProgress?, afterTakeover: Boolean, now: Instant, wall: Instant) {
+        if (job.identifier in tables.jobs) return
+        if (!starts.admit(job, now)) beyondEntitlement += job.identifier
+        transitions.accept(job, progress, afterTakeover, now, wall)
+    }
+
+    /** Cancels a job; a job that is not known is ignored. */
+    public fun cancel(job: JobIdentifier, now: Instant) {
+        tables.jobs[job]?.let { transitions.cancel(it, now) }
+    }
+
+    /** Returns the state of a job, or `null` if it is not known. */
+    public fun state(job: JobIdentifier): JobState? = tables.jobs[job]?.state
+
+    /** Replaces the live list. Executors that it lacks get no more work, but their runs count until they expire. */
+    public fun executorsReported(reports: List<ExecutorReport>, now: Instant) {
+        executorsKnown = true
+        val present = reports.associateBy { it.identifier }
+        for (report in reports) {
+            val row = tables.executors.getOrPut(report.identifier) { ExecutorRow(report) }
+            if (report.incarnation < row.report.incarnation) continue
+            if (report.incarnation > row.report.incarnation) listings.restart(row, report.incarnation, now)
+            row.report = report
+            row.vanished = false
+        }
+        for (row in tables.executors.values) row.vanished = row.identifier !in present
+        tables.executors.values.removeIf { it.vanished && !it.reachable && it.runs.isEmpty() }
+    }
+
+    /** Returns the executors to ask, in no particular order. */
+    public fun executors(): List<ExecutorReport> = tables.executors.values.map { it.report }
+
+    /** Marks machines whose executors are about to be ordered away; they get no new work. */
+    public fun retire(executors: Set<ExecutorIdentifier>) {
+        for (row in tables.executors.values) row.retiring = row.identifier in executors
+    }
+
+    /** The executor ended by an order of ours or is known to be gone: nothing runs there. */
+    public fun executorGone(executor: ExecutorIdentifier, now: Instant) {
+        val row = tables.executors.remove(executor) ?: return
+        listings.loseRuns(row, now)
+    }
+
+    /** Returns what to send to [executor], or `null` if it is not known any more. */
+    public fun grantRequest(
+        executor: ExecutorIdentifier,
+        grant: Duration,
+        ownedUntil: Instant,
+        now: Instant,
+    ): GrantRequest? {
+        val row = tables.executors[executor] ?: return null
+        val clock = row.estimatedClock(now)
+        val length = minOf(grant, ownedUntil - now)
+        val deadline = if (clock == null || !row.reachable || length <= Duration.ZERO) null else clock + length
+        if (deadline != null) row.grantedUntil = maxOf(row.grantedUntil, deadline)
+        val waiting = row.processedEnd > row.durableEnd
+        return GrantRequest(
+            row.report,
+            deadline,
+            row.durableEnd,
+            waiting,
+            row.runs.isNotEmpty() || row.listedAt == null,
+        )
+    }
+
+    /** Processes what an executor answered to a request that was sent at [requestedAt]. */
+    public fun listed(executor: ExecutorIdentifier, listing: ExecutorListing, requestedAt: Instant, now: Instant) {
+        tables.executors[executor]?.let { listings.process(it, listing, requestedAt, now) }
+    }
+
+    /** The executor gave no answer. */
+    public fun unreachable(executor: ExecutorIdentifier) {
+        tables.executors[executor]?.let {
+            if (it.reachable) tables.events += SchedulerEvent(null, executor, "unreachable runs=${it.runs.size}")
+            it.reachable = false
+        }
+    }
+
+    /** Processes the outcome of a start order. */
+    public fun startAnswered(order: Order.Start, outcome: StartOutcome, now: Instant) {
+        val task = tables.task(order.task) ?: return
+        val run = task.active?.takeIf { it.run == order.run && it.executor == order.executor } ?: return
+        when (outcome) {
+            is StartOutcome.Started -> {
+                if (run.confirmedAt == null) run.confirmedAt = now
+                if (run.phase == RunPhase.Starting) run.phase = RunPhase.Running
+            }
+            is StartOutcome.Unknown -> Unit
+            is StartOutcome.Rejected -> {
+                tables.events +=
+                    SchedulerEvent(
+                        order.task.job,
+                        order.executor,
+                        "start rejected reason=${outcome.reason} run=${order.run}",
+                    )
+                if (outcome.reason == StartRejection.Unhealthy) {
+                    tables.executors[order.executor]?.let { listings.blame(it, task, now) }
+                    task.lastFailedOn = order.executor
+                }
+                tables.release(task)
+                tables.requeue(task, now, now + policy.rejectionPause)
+                listings.restartGang(task, now)
+            }
+        }
+    }
+
+    /** Records which executors may run a step. */
+    public fun advised(request: AdviceRequest, tickets: Map<ExecutorIdentifier, String>, validUntil: Instant) {
+        val row = tables.jobs[request.job]
+            ?.steps
+            ?.get(request.occurrence)
+            ?.getOrNull(request.step) ?: return
+        row.tickets = tickets.mapValues { (_, text) -> Ticket(text, validUntil) }
+        row.adviceAskedAt = null
+    }
+
+    /** Decides what to do now. Nothing is decided once [ownedUntil] has passed. */
+    public fun plan(now: Instant, wall: Instant, ownedUntil: Instant, evacuated: Set<String>): SchedulerPlan {
+        if (now >= ownedUntil) return SchedulerPlan(emptyList(), emptyList(), takeEvents())
+        expireGrants(now)
+        for (row in tables.jobs.values) {
+            if (row.job.repetition != null && !row.ended && transitions.createDueOccurrences(row, wall)) {
+                transitions.releaseSteps(row, now)
+            }
+        }
+        val inputs = PlanInputs(now, wall, ownedUntil, settledAt, executorsKnown, evacuated, beyondEntitlement)
+        val orders = stops.plan(now) + starts.plan(inputs) + pace.plan(now)
+        return SchedulerPlan(orders, starts.adviceWanted.toList(), takeEvents())
+    }
+
+    /** Lets the tasks wait again whose executor has not answered until every grant that it may have has ended. */
+    private fun expireGrants(now: Instant) {
+        for (row in tables.executors.values) {
+            if (row.reachable || row.runs.isEmpty()) continue
+            if (row.reaches(row.grantedUntil, policy.clockError) + policy.expiryMargin > now) continue
+            tables.events += SchedulerEvent(null, row.identifier, "grants expired runs=${row.runs.size}")
+            listings.loseRuns(row, now)
+        }
+        tables.executors.values.removeIf { it.vanished && !it.reachable && it.runs.isEmpty() }
+    }
+
+    /** Returns what has to become durable, or `null` if nothing has changed. */
+    public fun takeChanges(now: Instant): ProgressBatch? {
+        val forgotten = transitions.forget(now)
+        beyondEntitlement -= forgotten.toSet()
+        val ends = tables.executors.values.filter { it.processedEnd > it.durableEnd }
+        if (tables.changed.isEmpty() && forgotten.isEmpty() && ends.isEmpty()) return null
+        val progress = tables.changed.mapNotNull { id -> tables.jobs[id]?.let { id to it.progress() } }.toMap()
+        tables.changed.clear()
+        return ProgressBatch(
+            progress,
+            forgotten,
+            ends.associate { it.identifier to it.processedEnd },
+            ends.associate { it.identifier to it.report.incarnation },
+        )
+    }
+
+    /** [batch] is durable; executors may forget its ends. */
+    public fun durable(batch: ProgressBatch) {
+        for ((identifier, number) in batch.ends) {
+            val row = tables.executors[identifier] ?: continue
+            if (row.report.incarnation == batch.incarnations[identifier]) row.durableEnd = maxOf(row.durableEnd, number)
+        }
+    }
+
+    private fun takeEvents(): List<SchedulerEvent> = tables.events.toList().also { tables.events.clear() }
+}
--- /dev/null
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/StartPlanner.kt
@@ -0,0 +1,201 @@
+package dogwoodgrade.scheduling
+
+import kotlin.time.Duration
+import kotlin.time.Instant
+
+/**
+ * Decides which waiting tasks start where.
+ *
+ * After a takeover, tasks of older jobs may still run on executors that have not answered the new owner. Until all
+ * executors of the pool have answered, or every grant of the previous owner has ended, only jobs that were accepted
+ * after the takeover start.
+ */
+internal class StartPlanner(
+    private val tables: FleetTables,
+    private val policy: SchedulingPolicy,
+    private val nextRun: () -> Long,
+) {
+    private val entitlements = mutableMapOf<String, Entitlement>()
+    val adviceWanted: MutableList<AdviceRequest> = mutableListOf()
+
+    /**
+     * Counts a job against its team's entitlement.
+     *
+     * @return whether the job lies within it
+     */
+    fun admit(job: Job, now: Instant): Boolean {
+        val team = job.team?.let { tables.configuration.teams[it] } ?: return true
+        return entitlements.getOrPut(team.name) { Entitlement(team.weight * 2, now) }.take(team.weight, now)
+    }
+
+    fun plan(inputs: PlanInputs): List<Order> {
+        adviceWanted.clear()
+        val orders = mutableListOf<Order>()
+        for ((pool, ready) in tables.readySteps) {
+            ready.removeIf { it.job.ended || !it.hasReady }
+            if (ready.isEmpty()) continue
+            val executors = tables.executors.values.filter { it.report.pool == pool }
+            val settled =
+                inputs.now >= inputs.settledAt ||
+                    inputs.executorsKnown &&
+                    executors.all { it.vanished || it.listedAt != null }
+            val ranked = ready.filter { settled || it.job.acceptedAfterTakeover }.map { rank(it, inputs) to it }
+            for ((_, row) in ranked.sortedBy { it.first }) startStep(row, executors, inputs, orders)
+        }
+        return orders
+    }
+
+    private fun rank(row: StepRow, inputs: PlanInputs): Rank {
+        val queue = tables.configuration.queues[row.job.job.queue]
+        return rankOf(row, queue, row.job.job.identifier in inputs.beyondEntitlement, inputs.now, inputs.wall)
+    }
+
+    private fun startStep(row: StepRow, executors: List<ExecutorRow>, inputs: PlanInputs, orders: MutableList<Order>) {
+        val needsTicket = tables.configuration.queues[row.job.job.queue]?.needsAdvice == true
+        val context = PlacementContext(inputs.now, inputs.evacuated, needsTicket)
+        if (needsTicket) requestAdvice(row, executors, inputs)
+        val allowed = allowedExecutors(row, executors, context)
+        if (row.step.gang) {
+            startGang(row, allowed, inputs, orders)
+            return
+        }
+        for (task in row.tasks) {
+            if (task.phase != TaskPhase.Ready || task.notBefore > inputs.now) continue
+            if (!withinCap(row)) return
+            val executor = chooseExecutor(row, task, allowed)
+            if (executor == null) {
+                if (row.step.longRunning && !row.step.usesSpareCapacity) preempt(row, task, allowed, inputs.now)
+                return
+            }
+            start(row, task, executor, nextRun(), inputs)?.let { orders += it }
+        }
+    }
+
+    private fun startGang(row: StepRow, allowed: List<ExecutorRow>, inputs: PlanInputs, orders: MutableList<Order>) {
+        if (row.tasks.any { it.phase != TaskPhase.Ready || it.notBefore > inputs.now }) return
+        val team = row.job.job.team
+        if (team != null && !row.tasks.indices.all { withinCap(row, it + 1) }) return
+        val placed = placeGang(row, allowed) ?: return
+        val run = nextRun()
+        val checkpoint = row.tasks
+            .firstOrNull { it.checkpoint.isNotEmpty() }
+            ?.checkpoint
+            .orEmpty()
+        for ((task, executor) in placed) {
+            task.checkpoint = checkpoint
+            start(row, task, executor, run, inputs)?.let { orders += it }
+        }
+    }
+
+    private fun withinCap(row: StepRow, tasks: Int = 1): Boolean {
+        val team = row.job.job.team ?: return true
+        val cap = tables.configuration.teams[team]?.cap ?: return true
+        var use = tables.teamUse[team] ?: Resources.None
+        repeat(tasks - 1) { use += row.step.request }
+        return cap.admits(use, row.step.request)
+    }
+
+    private fun start(row: StepRow, task: TaskRow, executor: ExecutorRow, run: Long, inputs: PlanInputs): Order? {
+        val clock = executor.estimatedClock(inputs.now) ?: return null
+        val travel = minOf(policy.startDeadline, inputs.ownedUntil - inputs.now)
+        if (travel <= Duration.ZERO) return null
+        val deadline = clock + travel
+        executor.grantedUntil = maxOf(executor.grantedUntil, deadline)
+        val number = maxOf(run, task.lastRun + 1)
+        tables.activate(
+            task,
+            ActiveRun(executor.identifier, number, inputs.now, deadline, checkpoint = task.checkpoint),
+        )
+        val ticket = row.tickets[executor.identifier]?.text
+        return Order.Start(
+            executor.identifier,
+            task.name,
+            number,
+            row.job.job.payload,
+            deadline,
+            task.checkpoint,
+            ticket,
+        )
+    }
+
+    /** Makes room for a long-running task that has waited, on the executor where the least batch work is lost. */
+    private fun preempt(row: StepRow, task: TaskRow, allowed: List<ExecutorRow>, now: Instant) {
+        if (now - task.readySince < policy.preemptionWait) return
+        val candidates =
+            allowed.filter { executor ->
+                executor.runs.values.none { it.stopReason == StopReason.Preempted } &&
+                    row.tasks.none { it.active?.executor == executor.identifier } &&
+                    row.step.reserved.fitsIn(executor.free + preemptible(executor))
+            }
+        val executor = candidates.maxByOrNull { it.free.processor } ?: return
+        var freed = executor.free
+        for ((name, run) in executor.runs.toList().sortedByDescending { it.second.startedAt }) {
+            if (row.step.reserved.fitsIn(freed)) break
+            val step = tables.stepOf(name) ?: continue
+            if (step.step.longRunning || run.phase == RunPhase.Stopping) continue
+            tables.stopsWanted[name] = StopReason.Preempted
+            run.stopReason = StopReason.Preempted
+            freed += step.step.reserved
+        }
+    }
+
+    private fun preemptible(executor: ExecutorRow): Resources =
+        executor.runs.keys
+            .mapNotNull { tables.stepOf(it) }
+            .filter { !it.step.longRunning }
+            .fold(Resources.None) { sum, step -> sum + step.step.reserved }
+
+    private fun requestAdvice(row: StepRow, executors: List<ExecutorRow>, inputs: PlanInputs) {
+        val askedAt = row.adviceAskedAt
+        if (askedAt != null && inputs.now - askedAt < policy.startDeadline) return
+        val usable = executors.filter { it.usable(inputs.now) }
+        if (usable.isEmpty() ||
+            usable.any { (row.tickets[it.identifier]?.validUntil ?: Instant.DISTANT_PAST) > inputs.now }
+        ) {
+            return
+        }
+        row.adviceAskedAt = inputs.now
+        adviceWanted += AdviceRequest(row.job.job.identifier, row.occurrence, row.number, usable.map { it.identifier })
+    }
+}
+
+/** A question to the advisory service: which of [executors] may run the step. */
+public data class AdviceRequest(
+    public val job: JobIdentifier,
+    public val occurrence: Int,
+    public val step: Int,
+    public val executors: List<ExecutorIdentifier>,
+)
+
+/**
+ * Inputs of one plan.
+ *
+ * @property wall time of day, for the times of repeated jobs
+ * @property ownedUntil end of the ownership lease, beyond which no order may be executed
+ * @property settledAt when every grant of the previous owner has ended
+ * @property executorsKnown the live list has been read since the takeover
+ */
+internal data class PlanInputs(
+    val now: Instant,
+    val wall: Instant,
+    val ownedUntil: Instant,
+    val settledAt: Instant,
+    val executorsKnown: Boolean,
+    val evacuated: Set<String>,
+    val beyondEntitlement: Set<JobIdentifier>,
+)
+
+/** A token bucket of jobs. */
+private data class Entitlement(
+    var tokens: Double,
+    var filledAt: Instant,
+) {
+    fun take(perSecond: Double, now: Instant): Boolean {
+        val seconds = (now - filledAt).inWholeMilliseconds / 1000.0
+        tokens = minOf(perSecond * 2, tokens + perSecond * seconds)
+        filledAt = now
+        if (tokens < 1) return false
+        tokens -= 1
+        return true
+    }
+}
