Order maintenance waves and size pools by demand

Change: the owner empties and maintains the machines of a wave within its limit, writes its status under the wave's key, and moves machines between pools and standby. Watchers of executors wait until their own ends are durable.

--- a/capacity/src/main/kotlin/dogwoodgrade/capacity/Machine.kt
+++ b/capacity/src/main/kotlin/dogwoodgrade/capacity/Machine.kt
@@ -1,6 +1,7 @@
 package dogwoodgrade.capacity
 
 import dogwoodgrade.scheduling.ExecutorIdentifier
+import dogwoodgrade.scheduling.Resources
 import kotlin.time.Duration
 
 /** What a machine is doing. */
@@ -17,6 +18,7 @@
     public val state: MachineState,
     public val zone: String,
     public val executor: ExecutorIdentifier?,
+    public val capacity: Resources = Resources.None,
 )
 
 /**
--- /dev/null
+++ b/capacity/src/main/kotlin/dogwoodgrade/capacity/PoolSizing.kt
@@ -0,0 +1,155 @@
+package dogwoodgrade.capacity
+
+import dogwoodgrade.scheduling.Resources
+import kotlin.math.ceil
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
+
+/**
+ * Figures that pools are sized with.
+ *
+ * @property smallestPool machines that every pool keeps; a burst is served by them until others have come
+ * @property idleHeadroom factor on the demand of a calm pool
+ * @property growthAt use of a pool's room above which a burst is assumed
+ * @property growthFactor factor on the demand of a pool in a burst, which goes on rising while machines move
+ * @property surplusTime time a pool has more than it needs before it gives machines away; a move costs about what a
+ * second of a machine costs
+ * @property movesAtOnce most orders of one plan
+ */
+public data class SizingPolicy(
+    public val smallestPool: Int = 3,
+    public val idleHeadroom: Double = 1.4,
+    public val growthAt: Double = 0.6,
+    public val growthFactor: Double = 1.3,
+    public val surplusTime: Duration = 2500.milliseconds,
+    public val movesAtOnce: Int = 8,
+)
+
+/**
+ * Demand of a pool.
+ *
+ * @property inUse what runs
+ * @property waiting what waits for room
+ * @property standby its machines are switched off
+ */
+public data class PoolDemand(
+    public val pool: String,
+    public val inUse: Resources,
+    public val waiting: Resources,
+    public val standby: Boolean,
+)
+
+/**
+ * State of a machine for sizing.
+ *
+ * @property usable its executor takes work now, or will once the machine has moved
+ * @property movable nothing runs on it, and no other order for it is under way
+ */
+public data class SizedMachine(
+    public val machine: Machine,
+    public val usable: Boolean,
+    public val movable: Boolean,
+)
+
+/** An order to move a machine. */
+public data class MachineMove(
+    public val machine: Machine,
+    public val pool: String,
+)
+
+/**
+ * Result of sizing.
+ *
+ * @property surplusSince since when each pool has more machines than it needs
+ * @property wanted machines that each pool needs
+ */
+public data class SizingPlan(
+    public val moves: List<MachineMove>,
+    public val surplusSince: Map<String, Instant>,
+    public val wanted: Map<String, Int>,
+)
+
+/**
+ * Decides which machines move between pools and standby.
+ *
+ * A pool in need takes machines from standby first, then from pools that have more than they need. Surplus machines go
+ * to standby after a while.
+ */
+public fun planPoolSizes(
+    demands: List<PoolDemand>,
+    machines: List<SizedMachine>,
+    surplusSince: Map<String, Instant>,
+    policy: SizingPolicy,
+    now: Instant,
+): SizingPlan {
+    val standby = demands.filter { it.standby }.map { it.pool }.toSet()
+    val active = demands.filter { !it.standby }
+    val usable = machines.filter { it.usable }.groupBy { it.machine.pool }
+    val wanted = active.associate { it.pool to machinesFor(it, usable[it.pool].orEmpty(), machines, policy) }
+    val size = active.associateTo(mutableMapOf()) { it.pool to usable[it.pool].orEmpty().size }
+    val moves = mutableListOf<MachineMove>()
+    val free = machines.filter { it.movable }.toMutableList()
+    for (pool in active.map { it.pool }.sortedByDescending { (wanted[it] ?: 0) - (size[it] ?: 0) }) {
+        while (moves.size < policy.movesAtOnce && size.getValue(pool) < wanted.getValue(pool)) {
+            val donor = chooseDonor(pool, free, standby, size, wanted, machines) ?: break
+            free -= donor
+            size.computeIfPresent(donor.machine.pool) { _, count -> count - 1 }
+            size.merge(pool, 1, Int::plus)
+            moves += MachineMove(donor.machine, pool)
+        }
+    }
+    val surplus = size.filter { (pool, count) -> count > wanted.getValue(pool) }.keys.associateWith { surplusSince[it] ?: now }
+    val target = standby.firstOrNull()
+    if (target != null) moves += returns(surplus, free, size, wanted, target, policy, now).take(policy.movesAtOnce - moves.size)
+    return SizingPlan(moves, surplus, wanted)
+}
+
+private fun machinesFor(
+    demand: PoolDemand,
+    usable: List<SizedMachine>,
+    machines: List<SizedMachine>,
+    policy: SizingPolicy,
+): Int {
+    val unit = (usable.ifEmpty { machines }).map { it.machine.capacity }.firstOrNull() ?: return policy.smallestPool
+    val total = demand.inUse + demand.waiting
+    val load = maxOf(share(total.processor, unit.processor), share(total.memory, unit.memory))
+    val bursting = load > usable.size * policy.growthAt
+    val factor = if (bursting) policy.growthFactor else policy.idleHeadroom
+    return maxOf(policy.smallestPool, ceil(load * factor).toInt())
+}
+
+private fun share(amount: Long, capacity: Long): Double = if (capacity <= 0) 0.0 else amount.toDouble() / capacity
+
+/** Prefers standby, then machines in zones where the pool has few. */
+private fun chooseDonor(
+    pool: String,
+    free: List<SizedMachine>,
+    standby: Set<String>,
+    size: Map<String, Int>,
+    wanted: Map<String, Int>,
+    machines: List<SizedMachine>,
+): SizedMachine? {
+    val zones = machines.filter { it.machine.pool == pool }.groupingBy { it.machine.zone }.eachCount()
+    return free
+        .filter { donor ->
+            val from = donor.machine.pool
+            from != pool && (from in standby || (size[from] ?: 0) > (wanted[from] ?: Int.MAX_VALUE))
+        }.minWithOrNull(compareBy({ it.machine.pool !in standby }, { zones[it.machine.zone] ?: 0 }, { it.machine.name }))
+}
+
+private fun returns(
+    surplus: Map<String, Instant>,
+    free: List<SizedMachine>,
+    size: Map<String, Int>,
+    wanted: Map<String, Int>,
+    standby: String,
+    policy: SizingPolicy,
+    now: Instant,
+): List<MachineMove> =
+    surplus.filter { now - it.value >= policy.surplusTime }.keys.flatMap { pool ->
+        free
+            .filter { it.machine.pool == pool }
+            .take(size.getValue(pool) - wanted.getValue(pool))
+            .map { MachineMove(it.machine, standby) }
+    }
--- a/node/src/main/kotlin/dogwoodgrade/node/ExecutorWatcher.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/ExecutorWatcher.kt
@@ -96,11 +96,19 @@
         }
     }
 
+    private suspend fun awaitDurability() {
+        do {
+            woken.receive()
+            val now = clock.now()
+            val request = fleet.withSchedule { it.grantRequest(identifier, Duration.ZERO, now, now) }
+        } while (request?.awaitsDurability == true)
+    }
+
     private suspend fun pauseAfter(request: GrantRequest) {
         val now = clock.now()
         val next = fleet.withSchedule { it.grantRequest(identifier, Duration.ZERO, now, now) } ?: return
         when {
-            next.awaitsDurability -> withTimeoutOrNull(durabilityWait) { woken.receive() }
+            next.awaitsDurability -> withTimeoutOrNull(durabilityWait) { awaitDurability() }
             !next.busy && request.durableEnd == next.durableEnd -> withTimeoutOrNull(idlePause) { woken.receive() }
         }
     }
--- a/node/src/main/kotlin/dogwoodgrade/node/FleetRecords.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/FleetRecords.kt
@@ -155,6 +155,7 @@
     @SerialName("tl") val targetLatency: Long? = null,
     @SerialName("sp") val usesSpareCapacity: Boolean = false,
     @SerialName("b") val unavailabilityBudget: Int = 0,
+    @SerialName("copies") val speculative: Boolean = false,
 ) {
     fun toStep(): Step =
         Step(
@@ -173,6 +174,7 @@
             targetLatency?.milliseconds,
             usesSpareCapacity,
             unavailabilityBudget,
+            speculative,
         )
 
     companion object {
@@ -195,6 +197,7 @@
                 step.targetLatency?.inWholeMilliseconds,
                 step.usesSpareCapacity,
                 step.unavailabilityBudget,
+                step.speculative,
             )
     }
 }
--- a/node/src/main/kotlin/dogwoodgrade/node/MachineLoop.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/MachineLoop.kt
@@ -1,16 +1,195 @@
 package dogwoodgrade.node
 
+import dogwoodgrade.capacity.Machine
+import dogwoodgrade.capacity.MachineLoad
+import dogwoodgrade.capacity.MachineMove
+import dogwoodgrade.capacity.MachineState
+import dogwoodgrade.capacity.MaintenanceOrder
+import dogwoodgrade.capacity.PoolDemand
+import dogwoodgrade.capacity.SizedMachine
+import dogwoodgrade.capacity.SizingPolicy
+import dogwoodgrade.capacity.WaveProgress
+import dogwoodgrade.capacity.planMaintenance
+import dogwoodgrade.capacity.planPoolSizes
+import dogwoodgrade.platform.AppendOutcome
+import dogwoodgrade.platform.MachineOutcome
+import dogwoodgrade.platform.MachinesClient
 import dogwoodgrade.platform.NodeSettings
-import kotlinx.coroutines.awaitCancellation
+import dogwoodgrade.platform.Topic
+import dogwoodgrade.platform.waveStatus
+import dogwoodgrade.scheduling.FleetView
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.delay
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 
-/** Orders maintenance and moves of machines while this process owns the fleet. */
+private val logger = KotlinLogging.logger {}
+
+/** Pause between two looks at the machines. */
+private val machinePause: Duration = 400.milliseconds
+
+/** Time after which a machine that was ordered to move counts by the list again. */
+private val moveMargin: Duration = 1.seconds
+
+/** Pause between two log lines on the load of the pools. */
+private val loadLogInterval: Duration = 1.seconds
+
+/**
+ * Orders maintenance and moves of machines while this process owns the fleet.
+ *
+ * What was ordered in a wave is also in the progress topic, so that a new owner does not empty machines again.
+ */
 internal class MachineLoop(
     private val node: NodeParts,
     private val settings: NodeSettings,
     private val fleet: FleetTable,
     private val epoch: Long,
+    private val record: (String, ByteArray) -> Unit,
 ) {
+    private val clock = node.clock
+    private val progress = mutableMapOf<Long, WaveProgress>()
+    private val reported = mutableMapOf<Long, Boolean>()
+    private var emptying = emptySet<String>()
+    private val moved = mutableMapOf<String, Instant>()
+    private val sizing = SizingPolicy()
+    private var surplusSince = emptyMap<String, Instant>()
+    private var loadLoggedAt = Instant.DISTANT_PAST
+
+    /** Looks at machines and gives orders until the coroutine is cancelled. */
     suspend fun run() {
-        awaitCancellation()
+        val client = node.machines ?: return
+        while (true) {
+            delay(machinePause)
+            val view = fleet.withSchedule { it.fleet(clock.now()) }
+            logLoad(view)
+            val machines = client.machines()?.associateBy { it.name } ?: continue
+            if (node.configuration.waves().any { reported[it.wave.number] != true }) maintain(client, machines, view)
+            size(client, machines, view)
+        }
+    }
+
+    private fun logLoad(view: FleetView) {
+        val now = clock.now()
+        if (now - loadLoggedAt < loadLogInterval) return
+        loadLoggedAt = now
+        val pools =
+            view.pools.values.joinToString(" ") {
+                "${it.pool}=${it.inUse.processor / 1000}/${it.capacity.processor / 1000}+${it.waiting.processor / 1000}"
+            }
+        logger.info { "machines: load used/capacity+waiting cores $pools" }
+    }
+
+    private suspend fun maintain(client: MachinesClient, machines: Map<String, Machine>, view: FleetView) {
+        val empty = mutableSetOf<String>()
+        for (known in node.configuration.waves()) {
+            val wave = known.wave
+            if (reported[wave.number] == true) continue
+            val current = progress.getOrPut(wave.number) { recorded(WaveProgress(wave, known.seenAt)) }.copy(wave = wave)
+            val loads = { machine: Machine -> loadOf(machine, view) }
+            val now = clock.now()
+            val decision = planMaintenance(current, emptying, machines, loads, settings.maintenanceTime, now)
+            empty += decision.empty
+            progress[wave.number] = current
+            if (decision.completed) {
+                report(wave.number, completed = true)
+                continue
+            }
+            report(wave.number, completed = false)
+            retire(empty, machines)
+            for (machine in decision.maintain) {
+                if (clock.now() < node.ownership.ordersUntil()) order(client, wave.number, machines.getValue(machine))
+            }
+        }
+        retire(empty, machines)
+    }
+
+    private fun recorded(fresh: WaveProgress): WaveProgress =
+        fresh.copy(maintained = node.maintained.of(fresh.wave.number))
+
+    private fun loadOf(machine: Machine, view: FleetView): MachineLoad? {
+        val load = machine.executor?.let { view.executors[it] } ?: return null
+        return MachineLoad(load.batchRuns, load.longRuns, load.reachable)
+    }
+
+    private fun retire(names: Set<String>, machines: Map<String, Machine>) {
+        emptying = names
+        val executors = names.mapNotNullTo(mutableSetOf()) { machines[it]?.executor }
+        fleet.withSchedule { it.retire(executors) }
+    }
+
+    private suspend fun order(client: MachinesClient, wave: Long, machine: Machine) {
+        val orderedAt = clock.now()
+        val outcome = client.maintain(machine.name, wave, epoch)
+        logger.info { "machines: maintenance machine=${machine.name} wave=$wave epoch=$epoch outcome=$outcome" }
+        val current = progress.getValue(wave)
+        progress[wave] =
+            when (outcome) {
+                MachineOutcome.Done -> {
+                    machine.executor?.let { executor -> fleet.withSchedule { it.executorGone(executor, clock.now()) } }
+                    val done = current.maintained + machine.name
+                    record(MaintainedMachines.key(wave), MaintainedMachines.encode(done))
+                    current.copy(maintained = done, orders = current.orders + confirmed(machine, orderedAt))
+                }
+                is MachineOutcome.Unknown ->
+                    current.copy(
+                        orders = current.orders + (machine.name to MaintenanceOrder(machine.name, orderedAt, false)),
+                    )
+                else -> current
+            }
+    }
+
+    private suspend fun size(client: MachinesClient, machines: Map<String, Machine>, view: FleetView) {
+        val now = clock.now()
+        val evacuated = node.configuration.evacuatedZones()
+        moved.values.removeIf { now - it > settings.moveTime + moveMargin }
+        val demands = view.pools.values.map { PoolDemand(it.pool, it.inUse, it.waiting, it.standby) }
+        val standby = demands.filter { it.standby }.map { it.pool }.toSet()
+        val sized = machines.values.map { sizedMachine(it, it.pool in standby, view, evacuated) }
+        val plan = planPoolSizes(demands, sized, surplusSince, sizing, now)
+        surplusSince = plan.surplusSince
+        for (move in plan.moves) {
+            if (clock.now() < node.ownership.ordersUntil()) move(client, move, plan.wanted)
+        }
+    }
+
+    private fun sizedMachine(machine: Machine, standby: Boolean, view: FleetView, evacuated: Set<String>): SizedMachine {
+        val load = machine.executor?.let { view.executors[it] }
+        val available = machine.zone !in evacuated && machine.name !in emptying
+        val coming = machine.state == MachineState.Moving || machine.name in moved
+        // An executor that is not in the live list yet is on its way; one that was lost shows as a machine that is down.
+        val usable = available && (coming || machine.state == MachineState.Up && load?.usable != false)
+        val idle = load == null && standby || load != null && load.batchRuns == 0 && load.longRuns == 0 && !load.draining
+        val movable = available && !coming && machine.state == MachineState.Up && idle
+        return SizedMachine(machine, usable, movable)
+    }
+
+    private suspend fun move(client: MachinesClient, move: MachineMove, wanted: Map<String, Int>) {
+        val machine = move.machine
+        val executor = machine.executor
+        // Between the plan and the order, work may have been placed on the executor.
+        if (executor != null && !fleet.withSchedule { it.reserveForMove(executor) }) return
+        val outcome = client.move(machine.name, move.pool, epoch)
+        logger.info {
+            "machines: move machine=${machine.name} from=${machine.pool} to=${move.pool} epoch=$epoch " +
+                "wanted=${wanted[move.pool]} outcome=$outcome"
+        }
+        if (outcome is MachineOutcome.Done || outcome is MachineOutcome.Unknown) {
+            moved[machine.name] = clock.now()
+            if (executor != null && outcome is MachineOutcome.Done) {
+                fleet.withSchedule { it.executorGone(executor, clock.now()) }
+            }
+        }
+    }
+
+    private fun confirmed(machine: Machine, at: Instant): Pair<String, MaintenanceOrder> =
+        machine.name to MaintenanceOrder(machine.name, at, true)
+
+    private suspend fun report(wave: Long, completed: Boolean) {
+        if (reported[wave] == completed) return
+        val outcome = node.store.append(Topic.Status, listOf(waveStatus(wave, completed)))
+        logger.info { "machines: wave=$wave completed=$completed outcome=$outcome" }
+        if (outcome is AppendOutcome.Appended) reported[wave] = completed
     }
 }
--- a/node/src/main/kotlin/dogwoodgrade/node/Node.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/Node.kt
@@ -60,6 +60,7 @@
     val configuration: ConfigurationTable,
     val jobs: JobTable,
     val ownership: OwnershipTable,
+    val maintained: MaintainedMachines,
     val contact: StoreContact,
     val clock: NodeClock,
     val metrics: NodeMetrics,
@@ -88,6 +89,7 @@
             ConfigurationTable(),
             JobTable(),
             OwnershipTable(policy),
+            MaintainedMachines(),
             StoreContact(storeLostAfter),
             clock,
             NodeMetrics(),
@@ -142,6 +144,7 @@
 
     private fun progressRead(followed: FollowedRecords) {
         if (session == null) followed.records.forEach { parts.jobs.applyProgress(it) }
+        followed.records.forEach { parts.maintained.apply(it) }
         parts.ownership.read(followed, clock.now())
     }
 
--- a/node/src/main/kotlin/dogwoodgrade/node/NodeClock.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/NodeClock.kt
@@ -6,7 +6,7 @@
 import kotlin.time.Instant
 import kotlin.time.TimeSource
 
-/** Difference between the clocks that shows that the machine stood still; timers alone are late by some milliseconds. */
+/** Difference between the clocks that shows a suspension; late timers differ by some milliseconds. */
 private val suspensionThreshold: Duration = 250.milliseconds
 
 /**
--- a/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
@@ -72,7 +72,7 @@
     private val workers =
         OrderWorkers(executors, fleet, record.epoch, clock, node.metrics) { changed(it) }
     private val reports = mutableMapOf<ExecutorIdentifier, ExecutorReport>()
-    private val machines = MachineLoop(node, settings, fleet, record.epoch)
+    private val machines = MachineLoop(node, settings, fleet, record.epoch, writer::record)
 
     /** Stops giving orders and lets another entry instance take over at once. */
     fun resign() = writer.resign()
@@ -227,7 +227,8 @@
         val sentAt = clock.now()
         val advice = client.advise(request) ?: return
         logger.info {
-            "advice: job=${request.job} step=${request.step} asked=${request.executors.size} allowed=${advice.tickets.size}"
+            "advice: job=${request.job} step=${request.step} asked=${request.executors.size} " +
+                "allowed=${advice.tickets.size}"
         }
         fleet.withSchedule { it.advised(request, advice.tickets, sentAt + advice.validFor) }
         changed()
--- a/node/src/main/kotlin/dogwoodgrade/node/OwnerWriter.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnerWriter.kt
@@ -46,6 +46,7 @@
     private val onDurable: () -> Unit,
 ) {
     private val changed = Channel<Unit>(Channel.CONFLATED)
+    private val others = Channel<Pair<String, ByteArray>>(Channel.UNLIMITED)
     private var sequence = claimSequence
     private var renewedAt = clock.now()
 
@@ -57,6 +58,12 @@
         changed.trySend(Unit)
     }
 
+    /** Appends another record of the owner with the next append. */
+    fun record(key: String, value: ByteArray) {
+        others.trySend(key to value)
+        notifyChanged()
+    }
+
     /** Lets the writer append a resignation as its last record. */
     fun resign() {
         resigning = true
@@ -71,16 +78,25 @@
             val last = resigning
             val now = clock.now()
             val batch = fleet.withSchedule { it.takeChanges(now) }
+            val others = takeOthers()
             val renew = last || now - renewedAt >= policy.renewEvery / 2
-            if (batch == null && !renew) continue
-            if (!append(batch, renew, last)) return "fenced"
+            if (batch == null && others.isEmpty() && !renew) continue
+            if (!append(batch, others, renew, last)) return "fenced"
             if (last) return "resigned"
             delay(gatherTime)
         }
     }
 
-    private suspend fun append(batch: ProgressBatch?, renew: Boolean, last: Boolean): Boolean {
+    private fun takeOthers(): List<Pair<String, ByteArray>> = generateSequence { others.tryReceive().getOrNull() }.toList()
+
+    private suspend fun append(
+        batch: ProgressBatch?,
+        others: List<Pair<String, ByteArray>>,
+        renew: Boolean,
+        last: Boolean,
+    ): Boolean {
         val records = mutableListOf<Pair<String, ByteArray?>>()
+        records += others
         batch?.progress?.forEach { (job, progress) ->
             records += FleetRecords.progressKey(job) to FleetRecords.encode(progress)
         }
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Job.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Job.kt
@@ -38,6 +38,7 @@
  * @property targetLatency bound on the tail latency of a serving task, or `null`
  * @property usesSpareCapacity the processor request is not counted; tasks use what others leave
  * @property unavailabilityBudget tasks of a long-running step that planned work may make unavailable at once
+ * @property speculative a task may run as several copies, of which the first to complete counts
  */
 public data class Step(
     public val count: Int,
@@ -55,6 +56,7 @@
     public val targetLatency: Duration? = null,
     public val usesSpareCapacity: Boolean = false,
     public val unavailabilityBudget: Int = 0,
+    public val speculative: Boolean = false,
 ) {
     /** What a task takes from an executor's capacity. */
     public val reserved: Resources = if (usesSpareCapacity) request.copy(processor = 0) else request
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Placement.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Placement.kt
@@ -50,12 +50,15 @@
     return penalty
 }
 
-/** Long-running work spreads over executors; batch work fills the fullest, which keeps machines free to be moved. */
+/**
+ * Long-running work spreads over the executors that have such work, so that the machines of the others stay free to be
+ * moved; batch work fills the fullest.
+ */
 private fun fitOrder(row: StepRow, executor: ExecutorRow): Long =
-    if (row.step.longRunning || row.step.usesSpareCapacity) {
-        executor.used.processor
-    } else {
-        executor.free.processor
+    when {
+        row.step.usesSpareCapacity -> executor.used.processor
+        row.step.longRunning -> -executor.runs.size.toLong().coerceAtMost(1) * executor.report.capacity.processor + executor.used.processor
+        else -> executor.free.processor
     }
 
 /** Returns an executor for each waiting task of a gang, or `null` if not all of them find room now. */
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
@@ -79,8 +79,24 @@
         if (job.identifier in tables.jobs) return
         if (!starts.admit(job, now)) beyondEntitlement += job.identifier
         transitions.accept(job, progress, afterTakeover, now, wall)
+        tables.events += SchedulerEvent(job.identifier, null, "accepted queue=${job.queue} steps=${summary(job)}")
     }
 
+    private fun summary(job: Job): String =
+        job.steps.joinToString(",") { step ->
+            val kind = if (step.longRunning) "long" else step.estimate.toString()
+            val options =
+                listOfNotNull(
+                    "gang".takeIf { step.gang },
+                    "spare".takeIf { step.usesSpareCapacity },
+                    "spread=${step.tasksPerExecutor}".takeIf { step.tasksPerExecutor > 0 },
+                    step.targetLatency?.let { "target=$it" },
+                    "budget=${step.unavailabilityBudget}".takeIf { step.unavailabilityBudget > 0 },
+                    "speculative".takeIf { step.speculative },
+                )
+            "${step.count}x${step.request.processor}m/$kind${options.joinToString("+", "+").takeIf { options.isNotEmpty() }.orEmpty()}"
+        }
+
     /** Cancels a job; a job that is not known is ignored. */
     public fun cancel(job: JobIdentifier, now: Instant) {
         tables.jobs[job]?.let { transitions.cancel(it, now) }
@@ -112,6 +128,14 @@
         for (row in tables.executors.values) row.retiring = row.identifier in executors
     }
 
+    /** Keeps new work from [executor] for a move; returns `false` if something runs there. */
+    public fun reserveForMove(executor: ExecutorIdentifier): Boolean {
+        val row = tables.executors[executor] ?: return true
+        if (row.runs.isNotEmpty()) return false
+        row.retiring = true
+        return true
+    }
+
     /** The executor ended by an order of ours or is known to be gone: nothing runs there. */
     public fun executorGone(executor: ExecutorIdentifier, now: Instant) {
         val row = tables.executors.remove(executor) ?: return
