--- /dev/null
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SimulatedDayTest.kt
@@ -0,0 +1,68 @@
+package dogwoodgrade.scheduling
+
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+
+/** Whole days in virtual time with seeded faults: at most one run of a task, dependencies, caps, and every job ends. */
+class SimulatedDayTest {
+    private fun playDay(seed: Long, faults: SimulatedFaults) {
+        val fleet = SimulatedFleet(seed, executorCount = 6, faults)
+        val random = Random(seed * 31)
+        repeat(30) { number ->
+            fleet.submit(chainJob("job-$seed-$number", fleet.now, *IntArray(random.nextInt(1, 4)) { random.nextInt(1, 7) }))
+            fleet.run(random.nextInt(200, 1500).let { it / 1000.0 }.seconds)
+        }
+        val cancelled = JobIdentifier("job-$seed-29")
+        fleet.cancel(cancelled)
+        fleet.run(60.seconds)
+        assertEquals(emptyList(), fleet.violations, "seed $seed")
+        val open = fleet.states().filterValues { it != JobState.Completed && it != JobState.Cancelled && it != JobState.Failed }
+        assertTrue(open.isEmpty(), "seed $seed: jobs did not end: $open")
+        assertTrue(fleet.runningTasks().isEmpty(), "seed $seed: still running: ${fleet.runningTasks()}")
+    }
+
+    private fun playDays(faults: SimulatedFaults) {
+        for (seed in 1L..25L) playDay(seed, faults)
+    }
+
+    @Test
+    fun `a calm day completes every job`() {
+        val fleet = SimulatedFleet(1, executorCount = 6, SimulatedFaults())
+        repeat(20) { fleet.submit(chainJob("job-$it", fleet.now, 3, 2)) }
+        fleet.run(30.seconds)
+        assertEquals(emptyList(), fleet.violations)
+        assertTrue(fleet.states().values.all { it == JobState.Completed }, fleet.states().toString())
+    }
+
+    @Test
+    fun `lost answers do not start a task twice`() = playDays(SimulatedFaults(lostAnswers = 0.2))
+
+    @Test
+    fun `orders that are executed seconds late do not start a task twice`() =
+        playDays(SimulatedFaults(lateOrders = 0.2))
+
+    @Test
+    fun `executors that start again lose no job`() = playDays(SimulatedFaults(restarts = 0.05))
+
+    @Test
+    fun `cut executors keep their tasks until their grants end`() = playDays(SimulatedFaults(cuts = 0.05))
+
+    @Test
+    fun `owners that take over adopt what runs`() = playDays(SimulatedFaults(takeovers = 0.2))
+
+    @Test
+    fun `all faults together break no guarantee`() =
+        playDays(
+            SimulatedFaults(
+                lostAnswers = 0.1,
+                lateOrders = 0.05,
+                restarts = 0.02,
+                cuts = 0.03,
+                takeovers = 0.1,
+                failures = 0.05,
+            ),
+        )
+}
--- /dev/null
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SimulatedExecutor.kt
@@ -0,0 +1,109 @@
+package dogwoodgrade.scheduling
+
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/**
+ * An executor in virtual time, by the rules of the platform's pages: leases, run numbers, ends until acknowledged.
+ *
+ * @property clockRate speed of its clock; a slow clock grants more than it was asked for
+ */
+internal class SimulatedExecutor(
+    var report: ExecutorReport,
+    private val clockRate: Double,
+    private val bornAt: Instant,
+    private val random: Random,
+) {
+    data class Run(
+        val task: TaskName,
+        val run: Long,
+        val startedAt: Instant,
+        val endsAt: Instant?,
+        val fails: Boolean,
+        val request: Resources,
+        var stopAt: Instant? = null,
+    )
+
+    val running = mutableListOf<Run>()
+    private val ended = mutableListOf<ListedEnd>()
+    private val highestEnded = mutableMapOf<TaskName, Long>()
+    private var nextEnd = 1L
+    private var leaseEnd = Duration.ZERO
+
+    /** Fails all that it starts. */
+    var broken = false
+
+    fun clock(now: Instant): Duration = (now - bornAt) * clockRate
+
+    fun start(order: Order.Start, step: Step, now: Instant, fails: Boolean): StartOutcome {
+        advance(now)
+        if (clock(now) > order.deadline) return StartOutcome.Rejected(StartRejection.Late)
+        leaseEnd = maxOf(leaseEnd, minOf(order.deadline, clock(now) + 6.seconds))
+        if (running.any { it.task == order.task && it.run == order.run }) return StartOutcome.Started(clock(now))
+        if (order.run <= (highestEnded[order.task] ?: 0)) return StartOutcome.Rejected(StartRejection.OldRun)
+        val used = running.fold(Resources.None) { sum, run -> sum + run.request }
+        if (!step.reserved.fitsIn(report.capacity - used)) return StartOutcome.Rejected(StartRejection.Capacity)
+        val length = step.estimate * random.nextDouble(0.5, 2.0)
+        val endsAt = if (step.longRunning) null else now + length
+        running += Run(order.task, order.run, now, endsAt, fails || broken, step.reserved)
+        return StartOutcome.Started(clock(now))
+    }
+
+    fun stop(order: Order.Stop, now: Instant) {
+        advance(now)
+        val run = running.firstOrNull { it.task == order.task && it.run <= order.run }
+        if (run == null) {
+            highestEnded.merge(order.task, order.run, ::maxOf)
+        } else if (run.stopAt == null) {
+            run.stopAt = now + random.nextInt(1, 400).milliseconds
+        }
+    }
+
+    fun list(deadline: Duration?, durableEnd: Long, now: Instant): ExecutorListing {
+        advance(now)
+        if (deadline != null) leaseEnd = maxOf(leaseEnd, minOf(deadline, clock(now) + 6.seconds))
+        ended.removeIf { it.number <= durableEnd }
+        val running =
+            running.map { run ->
+                val end = run.endsAt
+                val percent = if (end == null) 100 else ((now - run.startedAt) * 100 / (end - run.startedAt)).toInt()
+                ListedRun(run.task, run.run, "", percent, 0.0)
+            }
+        return ExecutorListing(report.incarnation, clock(now), running, ended.toList())
+    }
+
+    /** Lets time pass: runs end by themselves, by a stop, or with the lease. */
+    fun advance(now: Instant): List<Pair<TaskName, Long>> {
+        val completed = mutableListOf<Pair<TaskName, Long>>()
+        val lapsed = clock(now) > leaseEnd
+        for (run in running.toList()) {
+            val ending =
+                when {
+                    run.endsAt?.let { it <= now } == true -> if (run.fails) RunEnding.Failed else RunEnding.Done
+                    run.stopAt?.let { it <= now } == true -> RunEnding.Stopped
+                    lapsed -> RunEnding.Lapsed
+                    else -> null
+                }
+            if (ending != null) {
+                running -= run
+                ended += ListedEnd(nextEnd++, run.task, run.run, ending, "")
+                highestEnded.merge(run.task, run.run, ::maxOf)
+                if (ending == RunEnding.Done) completed += run.task to run.run
+            }
+        }
+        return completed
+    }
+
+    /** Starts again with nothing. */
+    fun restart(now: Instant) {
+        running.clear()
+        ended.clear()
+        highestEnded.clear()
+        nextEnd = 1
+        leaseEnd = Duration.ZERO
+        report = report.copy(incarnation = now.toEpochMilliseconds())
+    }
+}
--- /dev/null
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SimulatedFleet.kt
@@ -0,0 +1,208 @@
+package dogwoodgrade.scheduling
+
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/**
+ * Faults of a simulated day, each with a probability per executor and second, or per call.
+ *
+ * @property lostAnswers share of calls whose answer is lost though they were executed
+ * @property lateOrders share of starts that are executed seconds later, without an answer
+ * @property restarts executors that start again, per second and executor
+ * @property cuts executors that are not reached for some seconds, per second and executor
+ * @property takeovers owners that are replaced, per second
+ */
+internal data class SimulatedFaults(
+    val lostAnswers: Double = 0.0,
+    val lateOrders: Double = 0.0,
+    val restarts: Double = 0.0,
+    val cuts: Double = 0.0,
+    val takeovers: Double = 0.0,
+    val failures: Double = 0.0,
+)
+
+/** Drives a [Scheduler] in virtual time against simulated executors, and records what breaks a guarantee. */
+internal class SimulatedFleet(
+    seed: Long,
+    executorCount: Int,
+    private val faults: SimulatedFaults,
+    private val policy: SchedulingPolicy = SchedulingPolicy(),
+) {
+    private val random = Random(seed)
+    private val startedAt = Instant.fromEpochMilliseconds(1_000_000_000)
+    var now: Instant = startedAt
+    val violations = mutableListOf<String>()
+    val executors = List(executorCount) { executor(it) }
+    private val cutUntil = mutableMapOf<SimulatedExecutor, Instant>()
+    private val lateStarts = mutableListOf<Triple<Instant, SimulatedExecutor, Order.Start>>()
+    private val jobs = mutableMapOf<JobIdentifier, Job>()
+    private val cancelled = mutableSetOf<JobIdentifier>()
+    private val durable = mutableMapOf<JobIdentifier, JobProgress>()
+    private val completedTasks = mutableSetOf<TaskName>()
+    private var runs = 0L
+    private val grant = 5.seconds
+    private var leaseEnd = now + 1000.seconds
+    var scheduler = owner(now)
+
+    private fun executor(index: Int): SimulatedExecutor {
+        val report =
+            ExecutorReport(
+                ExecutorIdentifier("x$index"),
+                startedAt.toEpochMilliseconds(),
+                "pool",
+                "10.0.0.$index:80",
+                "zone-${index % 3}",
+                false,
+                Resources(16_000, 32_000),
+                listOf("kind", "rack-${index / 2}"),
+            )
+        return SimulatedExecutor(report, random.nextDouble(0.98, 1.02), startedAt - index.seconds, random)
+    }
+
+    private fun owner(settledAt: Instant): Scheduler {
+        val scheduler = Scheduler(policy) { ++runs }
+        val queue = QueueSettings("queue", "pool", 0, 4, 2.0, 500.milliseconds, false)
+        val pool = PoolSettings("pool", executorsGuardCapacity = true, standby = false)
+        val team = TeamSettings("team", 10.0, Resources(40_000, 0))
+        scheduler.configure(
+            SchedulingConfiguration(1, mapOf("queue" to queue), mapOf("pool" to pool), mapOf("team" to team)),
+        )
+        scheduler.begin(settledAt)
+        for (job in jobs.values) {
+            scheduler.accept(job, durable[job.identifier], false, now, now)
+            if (job.identifier in cancelled) scheduler.cancel(job.identifier, now)
+        }
+        scheduler.executorsReported(executors.map { it.report }, now)
+        return scheduler
+    }
+
+    fun submit(job: Job) {
+        jobs[job.identifier] = job
+        scheduler.accept(job, null, true, now, now)
+    }
+
+    fun cancel(job: JobIdentifier) {
+        cancelled += job
+        scheduler.cancel(job, now)
+    }
+
+    /** Lets [length] pass in steps of 20 ms. */
+    fun run(length: Duration) {
+        val end = now + length
+        while (now < end) {
+            step()
+            now += 20.milliseconds
+        }
+    }
+
+    private fun step() {
+        injectFaults()
+        executors.forEach { executor -> completedTasks += executor.advance(now).map { it.first } }
+        lateStarts.filter { it.first <= now }.forEach { (_, executor, order) -> execute(executor, order) }
+        lateStarts.removeIf { it.first <= now }
+        scheduler.executorsReported(executors.map { it.report }, now)
+        if ((now - startedAt).inWholeMilliseconds % 200 == 0L) executors.forEach { look(it) }
+        val plan = scheduler.plan(now, now, leaseEnd, emptySet())
+        plan.orders.forEach { send(it) }
+        scheduler.takeChanges(now)?.let { batch ->
+            durable += batch.progress
+            scheduler.durable(batch)
+        }
+        check()
+    }
+
+    private fun injectFaults() {
+        val tick = 0.02
+        for (executor in executors) {
+            if (random.nextDouble() < faults.restarts * tick) executor.restart(now)
+            if (random.nextDouble() < faults.cuts * tick) cutUntil[executor] = now + random.nextInt(1, 9).seconds
+        }
+        if (random.nextDouble() < faults.takeovers * tick) scheduler = owner(now + 6.seconds * 1.04)
+    }
+
+    private fun reached(executor: SimulatedExecutor): Boolean = (cutUntil[executor] ?: Instant.DISTANT_PAST) <= now
+
+    private fun look(executor: SimulatedExecutor) {
+        val identifier = executor.report.identifier
+        val request = scheduler.grantRequest(identifier, grant, leaseEnd, now) ?: return
+        if (!reached(executor)) {
+            scheduler.unreachable(identifier)
+            return
+        }
+        val listing = executor.list(request.deadline, request.durableEnd, now)
+        completedTasks += listing.ended.filter { it.ending == RunEnding.Done }.map { it.task }
+        if (random.nextDouble() < faults.lostAnswers) {
+            scheduler.unreachable(identifier)
+        } else {
+            scheduler.listed(identifier, listing, now, now)
+        }
+    }
+
+    private fun send(order: Order) {
+        val executor = executors.first { it.report.identifier == order.executor }
+        if (!reached(executor)) {
+            if (order is Order.Start) scheduler.startAnswered(order, StartOutcome.Unknown, now)
+            return
+        }
+        when (order) {
+            is Order.Start -> start(executor, order)
+            is Order.Stop -> executor.stop(order, now)
+            is Order.Pace -> Unit
+        }
+    }
+
+    private fun start(executor: SimulatedExecutor, order: Order.Start) {
+        if (random.nextDouble() < faults.lateOrders) {
+            lateStarts += Triple(now + random.nextInt(2, 12).seconds, executor, order)
+            scheduler.startAnswered(order, StartOutcome.Unknown, now)
+            return
+        }
+        val outcome = execute(executor, order)
+        val lost = random.nextDouble() < faults.lostAnswers
+        scheduler.startAnswered(order, if (lost) StartOutcome.Unknown else outcome, now)
+    }
+
+    private fun execute(executor: SimulatedExecutor, order: Order.Start): StartOutcome {
+        val job = jobs.getValue(order.task.job)
+        val step = job.steps[order.task.step]
+        val outcome = executor.start(order, step, now, random.nextDouble() < faults.failures)
+        if (outcome is StartOutcome.Started) {
+            val missing = step.dependencies.flatMap { number -> List(job.steps[number].count) { order.task.copy(step = number, index = it) } }
+            if (!completedTasks.containsAll(missing)) violations += "$now ${order.task} started before its dependencies"
+        }
+        return outcome
+    }
+
+    private fun check() {
+        val running = executors.flatMap { it.running }
+        running.groupBy { it.task }.filter { it.value.size > 1 }.forEach { (task, runs) ->
+            violations += "$now $task runs ${runs.size} times: ${runs.map { it.run }}"
+        }
+        val use = running.fold(Resources.None) { sum, run -> sum + run.request }
+        if (use.processor > 44_000 + 9_000) violations += "$now team uses ${use.processor}"
+    }
+
+    /** States of all jobs as they are durable. */
+    fun states(): Map<JobIdentifier, JobState?> = jobs.keys.associateWith { durable[it]?.state }
+
+    /** Tasks of which more than one run completed would be counted twice; none may run after its job ended. */
+    fun runningTasks(): Set<TaskName> = executors.flatMap { it.running }.mapTo(mutableSetOf()) { it.task }
+}
+
+/** Returns a job of steps that each depend on the one before. */
+internal fun chainJob(name: String, acceptedAt: Instant, vararg widths: Int, team: String? = "team"): Job =
+    Job(
+        JobIdentifier(name),
+        "queue",
+        "pool",
+        team,
+        "payload-$name",
+        widths.mapIndexed { number, width ->
+            Step(width, Resources(2_000, 1_000), 800.milliseconds, if (number == 0) emptyList() else listOf(number - 1))
+        },
+        null,
+        acceptedAt,
+    )
