Count failed runs across takeovers and record the executors in use

Change: ends count by run number, which progress records; executors are recorded before the first run starts there, and a new owner waits for each of them to answer or for its grants to end; the callback is set before the copy.

--- a/node/src/main/kotlin/dogwoodgrade/node/FleetRecords.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/FleetRecords.kt
@@ -1,6 +1,9 @@
 package dogwoodgrade.node
 
 import dogwoodgrade.ownership.OwnershipRecord
+import dogwoodgrade.scheduling.ExecutorIdentifier
+import dogwoodgrade.scheduling.ExecutorReport
+import dogwoodgrade.scheduling.FailedRuns
 import dogwoodgrade.scheduling.Job
 import dogwoodgrade.scheduling.JobIdentifier
 import dogwoodgrade.scheduling.JobProgress
@@ -28,6 +31,7 @@
     private const val JOB_PREFIX = "job/"
     private const val CANCELLATION_PREFIX = "cancel/"
     private const val PROGRESS_PREFIX = "progress/"
+    private const val EXECUTOR_PREFIX = "executor/"
 
     private val logger = KotlinLogging.logger {}
     private val json =
@@ -42,6 +46,11 @@
 
     fun progressKey(job: JobIdentifier): String = PROGRESS_PREFIX + job
 
+    fun executorKey(executor: ExecutorIdentifier): String = EXECUTOR_PREFIX + executor
+
+    fun executorOf(key: String): ExecutorIdentifier? =
+        if (key.startsWith(EXECUTOR_PREFIX)) ExecutorIdentifier(key.removePrefix(EXECUTOR_PREFIX)) else null
+
     fun jobOf(key: String): JobIdentifier? = identifier(key, JOB_PREFIX)
 
     fun cancelledJobOf(key: String): JobIdentifier? = identifier(key, CANCELLATION_PREFIX)
@@ -61,6 +70,13 @@
     fun decodeProgress(value: ByteArray): JobProgress? =
         decode("progress") { json.decodeFromString<ProgressRecord>(value.decodeToString()).toProgress() }
 
+    fun encode(report: ExecutorReport): ByteArray = json.encodeToString(ExecutorRecord.of(report)).encodeToByteArray()
+
+    fun decodeExecutor(identifier: ExecutorIdentifier, value: ByteArray): ExecutorReport? =
+        decode("executor $identifier") {
+            json.decodeFromString<ExecutorRecord>(value.decodeToString()).toReport(identifier)
+        }
+
     fun encode(owner: OwnershipRecord): ByteArray =
         json
             .encodeToString(OwnerRecord(owner.epoch, owner.owner, owner.incarnation, owner.resigned))
@@ -81,6 +97,37 @@
         }
 }
 
+@Serializable
+private data class ExecutorRecord(
+    @SerialName("b") val incarnation: Long,
+    @SerialName("p") val pool: String,
+    @SerialName("a") val address: String,
+    @SerialName("z") val zone: String,
+    @SerialName("c") val capacity: List<Long>,
+    @SerialName("l") val labels: List<String>,
+) {
+    fun toReport(identifier: ExecutorIdentifier): ExecutorReport {
+        if (capacity.size != 3) throw SerializationException("capacity $capacity")
+        val amount = Resources(capacity[0], capacity[1], capacity[2])
+        return ExecutorReport(identifier, incarnation, pool, address, zone, false, amount, labels)
+    }
+
+    companion object {
+        fun of(report: ExecutorReport): ExecutorRecord {
+            val amount = report.capacity
+            val capacity = listOf(amount.processor, amount.memory, amount.accelerators)
+            return ExecutorRecord(
+                report.incarnation,
+                report.pool,
+                report.address,
+                report.zone,
+                capacity,
+                report.labels,
+            )
+        }
+    }
+}
+
 @Serializable
 private data class OwnerRecord(
     val epoch: Long,
@@ -202,19 +249,19 @@
     }
 }
 
-/** Positions are written as `occurrence.step.index`. */
+/** Positions are written as `occurrence.step.index`, failures as their count and the last counted run. */
 @Serializable
 private data class ProgressRecord(
     @SerialName("s") val state: JobState,
     @SerialName("d") val completed: List<String> = emptyList(),
-    @SerialName("f") val failures: Map<String, Int> = emptyMap(),
+    @SerialName("f") val failures: Map<String, List<Long>> = emptyMap(),
     @SerialName("c") val checkpoints: Map<String, String> = emptyMap(),
 ) {
     fun toProgress(): JobProgress =
         JobProgress(
             state,
             completed.mapTo(mutableSetOf()) { position(it) },
-            failures.mapKeys { (key, _) -> position(key) },
+            failures.entries.associate { (key, value) -> position(key) to failedRuns(value) },
             checkpoints.mapKeys { (key, _) -> position(key) },
         )
 
@@ -223,12 +270,19 @@
             ProgressRecord(
                 progress.state,
                 progress.completed.map { text(it) },
-                progress.failures.mapKeys { (key, _) -> text(key) },
+                progress.failures.entries.associate { (key, value) ->
+                    text(key) to listOf(value.count.toLong(), value.lastRun)
+                },
                 progress.checkpoints.mapKeys { (key, _) -> text(key) },
             )
 
         private fun text(position: TaskPosition) = "${position.occurrence}.${position.step}.${position.index}"
 
+        private fun failedRuns(values: List<Long>): FailedRuns {
+            if (values.size != 2) throw SerializationException("failures $values")
+            return FailedRuns(values[0].toInt(), values[1])
+        }
+
         private fun position(text: String): TaskPosition {
             val numbers = text.split('.').map { it.toIntOrNull() ?: throw SerializationException("position \"$text\"") }
             if (numbers.size != 3) throw SerializationException("position \"$text\" has ${numbers.size} parts")
--- a/node/src/main/kotlin/dogwoodgrade/node/Node.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/Node.kt
@@ -61,6 +61,7 @@
     val jobs: JobTable,
     val ownership: OwnershipTable,
     val maintained: MaintainedMachines,
+    val executors: KnownExecutors,
     val contact: StoreContact,
     val clock: NodeClock,
     val metrics: NodeMetrics,
@@ -90,6 +91,7 @@
             JobTable(),
             OwnershipTable(policy),
             MaintainedMachines(),
+            KnownExecutors(),
             StoreContact(storeLostAfter),
             clock,
             NodeMetrics(),
@@ -145,6 +147,7 @@
     private fun progressRead(followed: FollowedRecords) {
         if (session == null) followed.records.forEach { parts.jobs.applyProgress(it) }
         followed.records.forEach { parts.maintained.apply(it) }
+        followed.records.forEach { parts.executors.apply(it) }
         parts.ownership.read(followed, clock.now())
     }
 
--- a/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
@@ -80,7 +80,7 @@
     /** Owns the fleet; returns why the term ended. */
     suspend fun run(): String =
         coroutineScope {
-            fleet.withSchedule { it.begin(settledAt) }
+            fleet.withSchedule { it.begin(settledAt, node.executors.all()) }
             val work = launch { work() }
             val reason = writer.run()
             work.cancel()
@@ -116,6 +116,8 @@
 
     private fun loadJobs() {
         val now = clock.now()
+        // The callback comes first: a job that is read meanwhile waits for the lock, and is ignored if it is known.
+        node.onJobRecords = { identifiers -> jobsRead(identifiers) }
         fleet.withSchedule { schedule ->
             configure(schedule)
             val known = node.jobs.all()
@@ -123,7 +125,6 @@
                 schedule.accept(checkNotNull(job.job), job.progress, false, now, clock.wall())
                 if (job.cancelled) schedule.cancel(identifier, now)
             }
-            node.onJobRecords = { identifiers -> jobsRead(identifiers) }
             logger.info {
                 "owner: loaded jobs=${known.size} active=${known.values.count { it.state == JobState.Active }}"
             }
--- a/node/src/main/kotlin/dogwoodgrade/node/OwnerWriter.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnerWriter.kt
@@ -24,6 +24,9 @@
 /** Pause between two appends, in which changes gather. */
 private val gatherTime: Duration = 15.milliseconds
 
+/** Pause between two log lines about appends without an answer. */
+private val logInterval: Duration = 1000.milliseconds
+
 /** Pause before an append that the store refused or left unanswered is repeated. */
 private val repeatPause: Duration = 50.milliseconds
 
@@ -100,6 +103,8 @@
         batch?.progress?.forEach { (job, progress) ->
             records += FleetRecords.progressKey(job) to FleetRecords.encode(progress)
         }
+        batch?.executors?.forEach { records += FleetRecords.executorKey(it.identifier) to FleetRecords.encode(it) }
+        batch?.goneExecutors?.forEach { records += FleetRecords.executorKey(it) to null }
         batch?.forgotten?.forEach { records += FleetRecords.progressKey(it) to null }
         if (renew ||
             records.isEmpty()
@@ -122,6 +127,7 @@
     private suspend fun appendUntilKnown(records: List<Pair<String, ByteArray?>>): Instant? {
         val producer = Producer(OWNER_PRODUCER, record.epoch, sequence + 1)
         var uncertainSince: Instant? = null
+        var loggedAt = Instant.DISTANT_PAST
         while (true) {
             val sentAt = clock.now()
             val outcome = store.append(Topic.Progress, records, producer)
@@ -138,7 +144,10 @@
                 AppendOutcome.Fenced -> return null
                 is AppendOutcome.Unknown -> {
                     uncertainSince = uncertainSince ?: sentAt
-                    logger.warn { "owner: append without answer records=${records.size} reason=${outcome.reason}" }
+                    if (sentAt - loggedAt > logInterval) {
+                        loggedAt = sentAt
+                        logger.warn { "owner: append without answer records=${records.size} reason=${outcome.reason}" }
+                    }
                 }
                 is AppendOutcome.NotDone -> logger.debug { "owner: append refused reason=${outcome.reason}" }
                 is AppendOutcome.EndMoved -> error("unconditional append was $outcome")
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ExecutorRow.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ExecutorRow.kt
@@ -20,6 +20,9 @@
     var listedAt: Instant? = null
     var reachable: Boolean = true
     var vanished: Boolean = false
+
+    /** A later owner will know that runs may be there. */
+    var recorded: Boolean = false
     var retiring: Boolean = false
     var processedEnd: Long = 0
     var durableEnd: Long = 0
@@ -46,5 +49,5 @@
     }
 
     fun usable(now: Instant): Boolean =
-        !report.draining && !vanished && !retiring && reachable && listedAt != null && avoidUntil <= now
+        !report.draining && !vanished && !retiring && reachable && recorded && listedAt != null && avoidUntil <= now
 }
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetTables.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetTables.kt
@@ -12,6 +12,10 @@
     val executors: MutableMap<ExecutorIdentifier, ExecutorRow> = linkedMapOf()
     val readySteps: MutableMap<String, LinkedHashSet<StepRow>> = mutableMapOf()
     val teamUse: MutableMap<String, Resources> = mutableMapOf()
+    val goneExecutors: LinkedHashSet<ExecutorIdentifier> = linkedSetOf()
+
+    /** Executors of earlier owners that have not answered this one, with their pools. */
+    val unsettled: MutableMap<ExecutorIdentifier, String> = mutableMapOf()
     val changed: LinkedHashSet<JobIdentifier> = linkedSetOf()
     val stopsWanted: LinkedHashMap<TaskName, StopReason> = linkedMapOf()
     val events: MutableList<SchedulerEvent> = mutableListOf()
@@ -24,6 +28,12 @@
     /** The pool that runs the job's queue now; the one recorded with the job if the queue was removed. */
     fun poolOf(job: Job): String = configuration.queues[job.queue]?.pool ?: job.pool
 
+    /** Nothing runs on the executor any more, and nothing will. */
+    fun dropExecutor(identifier: ExecutorIdentifier) {
+        unsettled -= identifier
+        if (executors.remove(identifier) != null) goneExecutors += identifier
+    }
+
     fun markReady(row: StepRow) {
         readySteps.getOrPut(poolOf(row.job.job)) { linkedSetOf() } += row
     }
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Job.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Job.kt
@@ -123,16 +123,27 @@
  * What is durable of a job's execution. Runs are not part of it: executors list what runs.
  *
  * @property completed tasks that have completed
- * @property failures number of failed runs per task; tasks without failures are absent
+ * @property failures failed runs per task; tasks without failures are absent
  * @property checkpoints newest checkpoint per task that is not running
  */
 public data class JobProgress(
     public val state: JobState = JobState.Queued,
     public val completed: Set<TaskPosition> = emptySet(),
-    public val failures: Map<TaskPosition, Int> = emptyMap(),
+    public val failures: Map<TaskPosition, FailedRuns> = emptyMap(),
     public val checkpoints: Map<TaskPosition, String> = emptyMap(),
 )
 
+/**
+ * Failed runs of a task.
+ *
+ * Executors list an end until it is acknowledged, so that a new owner may see one that is already counted. Run numbers
+ * of a task rise, so that the last counted one tells them apart.
+ */
+public data class FailedRuns(
+    public val count: Int,
+    public val lastRun: Long,
+)
+
 /** A task within its job. */
 public data class TaskPosition(
     public val occurrence: Int,
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobRows.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobRows.kt
@@ -40,6 +40,7 @@
     var phase: TaskPhase = TaskPhase.Waiting,
     var active: ActiveRun? = null,
     var failures: Int = 0,
+    var lastFailedRun: Long = 0,
     var checkpoint: String = "",
     var notBefore: Instant = Instant.DISTANT_PAST,
     var readySince: Instant = Instant.DISTANT_PAST,
@@ -94,13 +95,13 @@
 
     fun progress(): JobProgress {
         val completed = mutableSetOf<TaskPosition>()
-        val failures = mutableMapOf<TaskPosition, Int>()
+        val failures = mutableMapOf<TaskPosition, FailedRuns>()
         val checkpoints = mutableMapOf<TaskPosition, String>()
         for (row in allTasks()) {
             val position = TaskPosition(row.name.occurrence, row.name.step, row.name.index)
             if (row.phase == TaskPhase.Done) completed += position
             if (ended) continue
-            if (row.failures > 0) failures[position] = row.failures
+            if (row.failures > 0) failures[position] = FailedRuns(row.failures, row.lastFailedRun)
             if (row.checkpoint.isNotEmpty() && row.phase != TaskPhase.Done) checkpoints[position] = row.checkpoint
         }
         return JobProgress(state, completed, failures, checkpoints)
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobTransitions.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobTransitions.kt
@@ -38,7 +38,11 @@
         for (task in row.allTasks()) {
             val position = TaskPosition(task.name.occurrence, task.name.step, task.name.index)
             if (position in progress.completed) task.phase = TaskPhase.Done
-            task.failures = progress.failures[position] ?: 0
+            progress.failures[position]?.let {
+                task.failures = it.count
+                task.lastFailedRun = it.lastRun
+                task.lastRun = it.lastRun
+            }
             task.checkpoint = progress.checkpoints[position].orEmpty()
         }
     }
@@ -121,12 +125,13 @@
         }
     }
 
-    /** Counts a failed run; the job fails if the task has no attempts left. */
-    fun countFailure(task: TaskRow, now: Instant) {
+    /** Counts a failed run unless it was counted before; the job fails if the task has no attempts left. */
+    fun countFailure(task: TaskRow, run: Long, now: Instant) {
         val step = tables.stepOf(task.name) ?: return
         if (step.job.ended) return
-        if (!step.step.longRunning) {
+        if (!step.step.longRunning && run > task.lastFailedRun) {
             task.failures++
+            task.lastFailedRun = run
             tables.changed += task.name.job
             val attempts = tables.configuration.queues[step.job.job.queue]?.attempts ?: Int.MAX_VALUE
             if (task.failures >= attempts) {
@@ -134,7 +139,7 @@
                 return
             }
         }
-        tables.requeue(task, now, now + policy.failurePause)
+        if (task.active == null) tables.requeue(task, now, now + policy.failurePause)
     }
 
     /** Forgets jobs that ended so long ago that nobody may ask for them any more. */
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
@@ -29,12 +29,20 @@
     public val busy: Boolean,
 )
 
-/** Changes of jobs that have to become durable, and the ends that may be acknowledged afterwards. */
+/**
+ * What has to become durable.
+ *
+ * @property ends ends that may be acknowledged afterwards
+ * @property executors executors on which runs may start afterwards
+ * @property goneExecutors executors on which nothing can run any more
+ */
 public data class ProgressBatch(
     public val progress: Map<JobIdentifier, JobProgress>,
     public val forgotten: List<JobIdentifier>,
     public val ends: Map<ExecutorIdentifier, Long>,
     public val incarnations: Map<ExecutorIdentifier, Long>,
+    public val executors: List<ExecutorReport>,
+    public val goneExecutors: List<ExecutorIdentifier>,
 )
 
 /**
@@ -60,9 +68,21 @@
     /** Returns what is known of pools and their load. */
     public fun fleet(now: Instant): FleetView = fleetView(tables, now)
 
-    /** Starts ownership; older jobs wait until [settledAt] if executors do not answer. */
-    public fun begin(settledAt: Instant) {
+    /**
+     * Starts ownership.
+     *
+     * @param settledAt when every grant of earlier owners has ended
+     * @param known executors on which earlier owners may have started runs
+     */
+    public fun begin(settledAt: Instant, known: List<ExecutorReport>) {
         this.settledAt = settledAt
+        for (report in known) {
+            val row = ExecutorRow(report)
+            row.vanished = true
+            row.recorded = true
+            tables.executors[report.identifier] = row
+            tables.unsettled[report.identifier] = report.pool
+        }
     }
 
     /** Applies a configuration. Versions that are not newer are ignored. */
@@ -117,7 +137,15 @@
             row.vanished = false
         }
         for (row in tables.executors.values) row.vanished = row.identifier !in present
-        tables.executors.values.removeIf { it.vanished && !it.reachable && it.runs.isEmpty() }
+        dropVanished(now)
+    }
+
+    /** Executors of earlier owners are kept until their grants have ended: they may still answer. */
+    private fun dropVanished(now: Instant) {
+        tables.executors.values
+            .filter { it.vanished && !it.reachable && it.runs.isEmpty() }
+            .filter { it.identifier !in tables.unsettled || now >= settledAt }
+            .forEach { tables.dropExecutor(it.identifier) }
     }
 
     /** Returns the executors to ask, in no particular order. */
@@ -138,8 +166,9 @@
 
     /** The executor ended by an order of ours or is known to be gone: nothing runs there. */
     public fun executorGone(executor: ExecutorIdentifier, now: Instant) {
-        val row = tables.executors.remove(executor) ?: return
+        val row = tables.executors[executor] ?: return
         listings.loseRuns(row, now)
+        tables.dropExecutor(executor)
     }
 
     /** Returns what to send to [executor], or `null` if it is not known any more. */
@@ -237,7 +266,7 @@
             tables.events += SchedulerEvent(null, row.identifier, "grants expired runs=${row.runs.size}")
             listings.loseRuns(row, now)
         }
-        tables.executors.values.removeIf { it.vanished && !it.reachable && it.runs.isEmpty() }
+        dropVanished(now)
     }
 
     /** Returns what has to become durable, or `null` if nothing has changed. */
@@ -245,19 +274,27 @@
         val forgotten = transitions.forget(now)
         beyondEntitlement -= forgotten.toSet()
         val ends = tables.executors.values.filter { it.processedEnd > it.durableEnd }
-        if (tables.changed.isEmpty() && forgotten.isEmpty() && ends.isEmpty()) return null
+        val unrecorded = tables.executors.values.filter { !it.recorded }.map { it.report }
+        val gone = tables.goneExecutors.filter { it !in tables.executors }
+        if (tables.changed.isEmpty() && forgotten.isEmpty() && ends.isEmpty() && unrecorded.isEmpty() && gone.isEmpty()) {
+            return null
+        }
         val progress = tables.changed.mapNotNull { id -> tables.jobs[id]?.let { id to it.progress() } }.toMap()
         tables.changed.clear()
+        tables.goneExecutors.clear()
         return ProgressBatch(
             progress,
             forgotten,
             ends.associate { it.identifier to it.processedEnd },
             ends.associate { it.identifier to it.report.incarnation },
+            unrecorded,
+            gone,
         )
     }
 
     /** [batch] is durable; executors may forget its ends. */
     public fun durable(batch: ProgressBatch) {
+        batch.executors.forEach { tables.executors[it.identifier]?.recorded = true }
         for ((identifier, number) in batch.ends) {
             val row = tables.executors[identifier] ?: continue
             if (row.report.incarnation == batch.incarnations[identifier]) row.durableEnd = maxOf(row.durableEnd, number)
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/StartPlanner.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/StartPlanner.kt
@@ -35,10 +35,7 @@
             ready.removeIf { it.job.ended || !it.hasReady }
             if (ready.isEmpty()) continue
             val executors = tables.executors.values.filter { it.report.pool == pool }
-            val settled =
-                inputs.now >= inputs.settledAt ||
-                    inputs.executorsKnown &&
-                    executors.all { it.vanished || it.listedAt != null }
+            val settled = inputs.now >= inputs.settledAt || inputs.executorsKnown && pool !in tables.unsettled.values
             val ranked = ready.filter { settled || it.job.acceptedAfterTakeover }.map { rank(it, inputs) to it }
             for ((_, row) in ranked.sortedBy { it.first }) startStep(row, executors, inputs, orders)
         }
