--- a/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SimulatedFleet.kt
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SimulatedFleet.kt
@@ -43,6 +43,7 @@
     private val recorded = mutableMapOf<ExecutorIdentifier, ExecutorReport>()
     private val durable = mutableMapOf<JobIdentifier, JobProgress>()
     private val completedTasks = mutableSetOf<TaskName>()
+    private val failedRuns = mutableMapOf<TaskName, MutableSet<Long>>()
     private var runs = 0L
     private val grant = 5.seconds
     private var leaseEnd = now + 1000.seconds
@@ -136,6 +137,9 @@
             return
         }
         val listing = executor.list(request.deadline, request.durableEnd, now)
+        for (end in listing.ended) {
+            if (end.ending == RunEnding.Failed) failedRuns.getOrPut(end.task) { mutableSetOf() } += end.run
+        }
         completedTasks += listing.ended.filter { it.ending == RunEnding.Done }.map { it.task }
         if (random.nextDouble() < faults.lostAnswers) {
             scheduler.unreachable(identifier)
@@ -174,6 +178,7 @@
         val outcome = executor.start(order, step, now, random.nextDouble() < faults.failures)
         if (outcome is StartOutcome.Started) {
             val missing = step.dependencies.flatMap { number -> List(job.steps[number].count) { order.task.copy(step = number, index = it) } }
+            if ((failedRuns[order.task]?.size ?: 0) >= 4) violations += "$now ${order.task} started after its attempts"
             if (!completedTasks.containsAll(missing)) violations += "$now ${order.task} started before its dependencies"
         }
         return outcome
