--- a/capacity/src/main/kotlin/dogwoodgrade/capacity/PoolSizing.kt
+++ b/capacity/src/main/kotlin/dogwoodgrade/capacity/PoolSizing.kt
@@ -73,8 +73,8 @@
 /**
  * Decides which machines move between pools and standby.
  *
- * A pool in need takes machines from standby first, then from pools that have more than they need. Surplus machines go
- * to standby after a while.
+ * The pool that has the smallest part of what it needs is served first. It takes machines from standby, then from pools
+ * that have more than they need. Surplus machines go to standby after a while.
  */
 public fun planPoolSizes(
     demands: List<PoolDemand>,
@@ -90,14 +90,19 @@
     val size = active.associateTo(mutableMapOf()) { it.pool to usable[it.pool].orEmpty().size }
     val moves = mutableListOf<MachineMove>()
     val free = machines.filter { it.movable }.toMutableList()
-    for (pool in active.map { it.pool }.sortedByDescending { (wanted[it] ?: 0) - (size[it] ?: 0) }) {
-        while (moves.size < policy.movesAtOnce && size.getValue(pool) < wanted.getValue(pool)) {
-            val donor = chooseDonor(pool, free, standby, size, wanted, machines) ?: break
-            free -= donor
-            size.computeIfPresent(donor.machine.pool) { _, count -> count - 1 }
-            size.merge(pool, 1, Int::plus)
-            moves += MachineMove(donor.machine, pool)
-        }
+    while (moves.size < policy.movesAtOnce) {
+        val move =
+            active
+                .map { it.pool }
+                .filter { size.getValue(it) < wanted.getValue(it) }
+                .sortedBy { size.getValue(it).toDouble() / wanted.getValue(it) }
+                .firstNotNullOfOrNull { pool ->
+                    chooseDonor(pool, free, standby, size, wanted, machines)?.let { MachineMove(it.machine, pool) to it }
+                } ?: break
+        free -= move.second
+        size.computeIfPresent(move.first.machine.pool) { _, count -> count - 1 }
+        size.merge(move.first.pool, 1, Int::plus)
+        moves += move.first
     }
     val surplus = size.filter { (pool, count) -> count > wanted.getValue(pool) }.keys.associateWith { surplusSince[it] ?: now }
     val target = standby.firstOrNull()
--- a/node/src/main/kotlin/dogwoodgrade/node/FleetRecords.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/FleetRecords.kt
@@ -3,13 +3,13 @@
 import dogwoodgrade.ownership.OwnershipRecord
 import dogwoodgrade.scheduling.ExecutorIdentifier
 import dogwoodgrade.scheduling.ExecutorReport
-import dogwoodgrade.scheduling.FailedRuns
 import dogwoodgrade.scheduling.Job
 import dogwoodgrade.scheduling.JobIdentifier
 import dogwoodgrade.scheduling.JobProgress
 import dogwoodgrade.scheduling.JobState
 import dogwoodgrade.scheduling.Repetition
 import dogwoodgrade.scheduling.Resources
+import dogwoodgrade.scheduling.StartedRun
 import dogwoodgrade.scheduling.Step
 import dogwoodgrade.scheduling.TaskPosition
 import io.github.oshai.kotlinlogging.KotlinLogging
@@ -249,20 +249,22 @@
     }
 }
 
-/** Positions are written as `occurrence.step.index`, failures as their count and the last counted run. */
+/** Positions are written as `occurrence.step.index`, started runs as `run@executor`. */
 @Serializable
 private data class ProgressRecord(
     @SerialName("s") val state: JobState,
     @SerialName("d") val completed: List<String> = emptyList(),
     @SerialName("f") val failures: Map<String, List<Long>> = emptyMap(),
     @SerialName("c") val checkpoints: Map<String, String> = emptyMap(),
+    @SerialName("r") val started: Map<String, String> = emptyMap(),
 ) {
     fun toProgress(): JobProgress =
         JobProgress(
             state,
             completed.mapTo(mutableSetOf()) { position(it) },
-            failures.entries.associate { (key, value) -> position(key) to failedRuns(value) },
+            failures.entries.associate { (key, value) -> position(key) to value.toSet() },
             checkpoints.mapKeys { (key, _) -> position(key) },
+            started.entries.associate { (key, value) -> position(key) to startedRun(value) },
         )
 
     companion object {
@@ -270,17 +272,16 @@
             ProgressRecord(
                 progress.state,
                 progress.completed.map { text(it) },
-                progress.failures.entries.associate { (key, value) ->
-                    text(key) to listOf(value.count.toLong(), value.lastRun)
-                },
+                progress.failures.entries.associate { (key, value) -> text(key) to value.toList() },
                 progress.checkpoints.mapKeys { (key, _) -> text(key) },
+                progress.started.entries.associate { (key, value) -> text(key) to "${value.run}@${value.executor}" },
             )
 
         private fun text(position: TaskPosition) = "${position.occurrence}.${position.step}.${position.index}"
 
-        private fun failedRuns(values: List<Long>): FailedRuns {
-            if (values.size != 2) throw SerializationException("failures $values")
-            return FailedRuns(values[0].toInt(), values[1])
+        private fun startedRun(text: String): StartedRun {
+            val run = text.substringBefore('@').toLongOrNull() ?: throw SerializationException("started run \"$text\"")
+            return StartedRun(ExecutorIdentifier(text.substringAfter('@')), run)
         }
 
         private fun position(text: String): TaskPosition {
--- a/node/src/main/kotlin/dogwoodgrade/node/MachineLoop.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/MachineLoop.kt
@@ -28,7 +28,7 @@
 private val logger = KotlinLogging.logger {}
 
 /** Pause between two looks at the machines. */
-private val machinePause: Duration = 400.milliseconds
+private val machinePause: Duration = 300.milliseconds
 
 /** Time after which a machine that was ordered to move counts by the list again. */
 private val moveMargin: Duration = 1.seconds
@@ -62,7 +62,7 @@
         val client = node.machines ?: return
         while (true) {
             delay(machinePause)
-            val view = fleet.withSchedule { it.fleet(clock.now()) }
+            val view = fleet.withSchedule { it.fleet(clock.now(), clock.wall()) }
             logLoad(view)
             val machines = client.machines()?.associateBy { it.name } ?: continue
             if (node.configuration.waves().any { reported[it.wave.number] != true }) maintain(client, machines, view)
--- a/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
@@ -14,6 +14,7 @@
 import dogwoodgrade.scheduling.ExecutorReport
 import dogwoodgrade.scheduling.JobIdentifier
 import dogwoodgrade.scheduling.JobState
+import dogwoodgrade.scheduling.Order
 import dogwoodgrade.scheduling.Scheduler
 import dogwoodgrade.scheduling.SchedulingPolicy
 import io.github.oshai.kotlinlogging.KotlinLogging
@@ -67,7 +68,7 @@
     private val executors = ExecutorClient(node.vertx)
     private val writer =
         OwnerWriter(node.store, fleet, node.jobs, node.ownership, record, policy, clock, node.contact, claimSequence) {
-            onDurable()
+            onDurable(it)
         }
     private val workers =
         OrderWorkers(executors, fleet, record.epoch, clock, node.metrics) { changed(it) }
@@ -122,7 +123,7 @@
             configure(schedule)
             val known = node.jobs.all()
             for ((identifier, job) in known) {
-                schedule.accept(checkNotNull(job.job), job.progress, false, now, clock.wall())
+                schedule.accept(checkNotNull(job.job), job.progress, now, clock.wall())
                 if (job.cancelled) schedule.cancel(identifier, now)
             }
             logger.info {
@@ -142,7 +143,7 @@
             configure(schedule)
             for (identifier in identifiers) {
                 val known = node.jobs[identifier] ?: continue
-                schedule.accept(checkNotNull(known.job), known.progress, true, now, clock.wall())
+                schedule.accept(checkNotNull(known.job), known.progress, now, clock.wall())
                 if (known.cancelled) schedule.cancel(identifier, now)
             }
         }
@@ -192,10 +193,16 @@
         changed()
     }
 
-    private fun onDurable() {
+    private fun onDurable(starts: List<Order.Start>) {
+        if (starts.isNotEmpty()) send(starts)
         watchers.values.forEach { it.wake() }
     }
 
+    private fun send(orders: List<Order>) {
+        val known = fleet.withSchedule { schedule -> schedule.executors().associateBy { it.identifier } }
+        for (order in orders) known[order.executor]?.let { workers.submit(it, order) }
+    }
+
     private suspend fun plan(scope: CoroutineScope) {
         while (true) {
             withTimeoutOrNull(planInterval) { dirty.receive() }
@@ -206,18 +213,15 @@
             }
             val startedAt = clock.now()
             val evacuated = node.configuration.evacuatedZones()
-            val (plan, known) =
+            val plan =
                 fleet.withSchedule { schedule ->
                     configure(schedule)
-                    schedule.plan(startedAt, clock.wall(), node.ownership.ordersUntil(), evacuated) to
-                        schedule.executors().associateBy { it.identifier }
+                    schedule.plan(startedAt, clock.wall(), node.ownership.ordersUntil(), evacuated)
                 }
             node.metrics.planned(clock.now() - startedAt)
             plan.events.forEach { logger.info { "schedule: ${it.text} job=${it.job} executor=${it.executor}" } }
-            for (order in plan.orders) {
-                known[order.executor]?.let { workers.submit(it, order) }
-                watchers[order.executor]?.wake()
-            }
+            if (plan.orders.isNotEmpty()) send(plan.orders)
+            writer.notifyChanged()
             plan.advice.forEach { request -> scope.launch { advise(request) } }
             delay(planGap)
         }
--- a/node/src/main/kotlin/dogwoodgrade/node/OwnerWriter.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnerWriter.kt
@@ -7,6 +7,7 @@
 import dogwoodgrade.platform.Producer
 import dogwoodgrade.platform.StoreClient
 import dogwoodgrade.platform.Topic
+import dogwoodgrade.scheduling.Order
 import dogwoodgrade.scheduling.ProgressBatch
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.channels.Channel
@@ -22,7 +23,7 @@
 internal const val OWNER_PRODUCER: String = "owner"
 
 /** Pause between two appends, in which changes gather. */
-private val gatherTime: Duration = 15.milliseconds
+private val gatherTime: Duration = 8.milliseconds
 
 /** Pause between two log lines about appends without an answer. */
 private val logInterval: Duration = 1000.milliseconds
@@ -46,7 +47,7 @@
     private val clock: NodeClock,
     private val contact: StoreContact,
     claimSequence: Long,
-    private val onDurable: () -> Unit,
+    private val onDurable: (List<Order.Start>) -> Unit,
 ) {
     private val changed = Channel<Unit>(Channel.CONFLATED)
     private val others = Channel<Pair<String, ByteArray>>(Channel.UNLIMITED)
@@ -117,12 +118,15 @@
         if (batch != null) {
             batch.progress.forEach { (job, progress) -> jobs.applyProgress(job, progress) }
             jobs.forget(batch.forgotten)
-            fleet.withSchedule { it.durable(batch) }
         }
-        onDurable()
+        val starts = if (batch == null) emptyList() else startsAfter(batch)
+        onDurable(starts)
         return true
     }
 
+    private fun startsAfter(batch: ProgressBatch): List<Order.Start> =
+        fleet.withSchedule { it.durable(batch, ownership.ordersUntil(), clock.now()) }
+
     /** Returns when the append was first sent, or `null` if another owner has taken over. */
     private suspend fun appendUntilKnown(records: List<Pair<String, ByteArray?>>): Instant? {
         val producer = Producer(OWNER_PRODUCER, record.epoch, sequence + 1)
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ExecutorRow.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ExecutorRow.kt
@@ -42,9 +42,12 @@
 
     fun estimatedClock(now: Instant): Duration? = clock?.let { it + (now - clockReadAt) }
 
-    /** Returns the latest time at which the executor's clock reaches [deadline], given its relative error. */
+    /**
+     * Returns the latest time at which the executor's clock reaches [deadline], given its relative error. An executor
+     * that never answered this owner has no grant of it.
+     */
     fun reaches(deadline: Duration, clockError: Double): Instant {
-        val read = clock ?: return Instant.DISTANT_FUTURE
+        val read = clock ?: return Instant.DISTANT_PAST
         return clockReadAt + (deadline - read).coerceAtLeast(Duration.ZERO) / (1.0 - clockError)
     }
 
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetTables.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetTables.kt
@@ -13,9 +13,7 @@
     val readySteps: MutableMap<String, LinkedHashSet<StepRow>> = mutableMapOf()
     val teamUse: MutableMap<String, Resources> = mutableMapOf()
     val goneExecutors: LinkedHashSet<ExecutorIdentifier> = linkedSetOf()
-
-    /** Executors of earlier owners that have not answered this one, with their pools. */
-    val unsettled: MutableMap<ExecutorIdentifier, String> = mutableMapOf()
+    val plannedStarts: MutableList<PlannedStart> = mutableListOf()
     val changed: LinkedHashSet<JobIdentifier> = linkedSetOf()
     val stopsWanted: LinkedHashMap<TaskName, StopReason> = linkedMapOf()
     val events: MutableList<SchedulerEvent> = mutableListOf()
@@ -30,7 +28,6 @@
 
     /** Nothing runs on the executor any more, and nothing will. */
     fun dropExecutor(identifier: ExecutorIdentifier) {
-        unsettled -= identifier
         if (executors.remove(identifier) != null) goneExecutors += identifier
     }
 
@@ -49,16 +46,15 @@
         }
         step.job.job.team
             ?.let { teamUse.merge(it, step.step.request, Resources::plus) }
-        if (step.job.state == JobState.Queued) {
-            step.job.state = JobState.Active
-            changed += task.name.job
-        }
+        if (step.job.state == JobState.Queued) step.job.state = JobState.Active
+        changed += task.name.job
     }
 
     /** Removes the task's run; the caller sets what the task does next. */
     fun release(task: TaskRow) {
         val run = task.active ?: return
         val step = stepOf(task.name)
+        changed += task.name.job
         task.active = null
         stopsWanted -= task.name
         executors[run.executor]?.let {
@@ -85,6 +81,13 @@
     }
 }
 
+/** A start that is ordered once its run is durable. */
+public data class PlannedStart(
+    public val task: TaskName,
+    public val executor: ExecutorIdentifier,
+    public val run: Long,
+)
+
 /** Something the scheduler concluded that operators want to find in the log. */
 public data class SchedulerEvent(
     public val job: JobIdentifier?,
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetView.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetView.kt
@@ -1,5 +1,6 @@
 package dogwoodgrade.scheduling
 
+import kotlin.math.ceil
 import kotlin.time.Instant
 
 /**
@@ -40,15 +41,18 @@
     public val executors: Map<ExecutorIdentifier, ExecutorLoad>,
 )
 
-internal fun fleetView(tables: FleetTables, now: Instant): FleetView {
+/** Part of the request of jobs that cannot meet their objective any more that counts as demand. */
+private const val LATE_DEMAND: Double = 0.25
+
+internal fun fleetView(tables: FleetTables, now: Instant, wall: Instant): FleetView {
+    val room = tables.configuration.teams.mapValuesTo(mutableMapOf()) { (name, team) -> remainingCap(tables, name, team.cap) }
     val pools =
         tables.configuration.pools.keys.associateWith { pool ->
             val executors = tables.executors.values.filter { it.report.pool == pool && it.usable(now) }
-            val ready = tables.readySteps[pool].orEmpty().filter { !it.job.ended && !it.step.usesSpareCapacity }
             PoolLoad(
                 pool,
                 executors.sum { it.used },
-                ready.sum { row -> row.step.request * row.tasks.count { it.phase == TaskPhase.Ready } },
+                waitingRequest(tables, pool, room, now, wall),
                 executors.sum { it.report.capacity },
                 tables.configuration.pools[pool]?.standby == true,
             )
@@ -56,6 +60,43 @@
     return FleetView(pools, tables.executors.mapValues { (_, row) -> loadOf(tables, row, now) })
 }
 
+private fun remainingCap(tables: FleetTables, team: String, cap: Resources): Resources {
+    val use = tables.teamUse[team] ?: Resources.None
+
+    fun left(limit: Long, used: Long): Long = if (limit == 0L) Long.MAX_VALUE / 2 else maxOf(0, limit - used)
+    return Resources(
+        left(cap.processor, use.processor),
+        left(cap.memory, use.memory),
+        left(cap.accelerators, use.accelerators),
+    )
+}
+
+/** Adds up what waits for room, without what the caps of teams keep from starting. */
+private fun waitingRequest(
+    tables: FleetTables,
+    pool: String,
+    room: MutableMap<String, Resources>,
+    now: Instant,
+    wall: Instant,
+): Resources {
+    var total = Resources.None
+    for (row in tables.readySteps[pool].orEmpty()) {
+        if (row.job.ended || row.step.usesSpareCapacity) continue
+        val request = row.step.request
+        val team = row.job.job.team
+        val late = rankOf(row, tables.configuration.queues[row.job.job.queue], false, now, wall).urgency == Urgency.Late
+        var tasks = row.tasks.count { it.phase == TaskPhase.Ready }
+        if (late) tasks = ceil(tasks * LATE_DEMAND).toInt()
+        repeat(tasks) {
+            val left = team?.let { room[it] }
+            if (left != null && !request.fitsIn(left)) return@repeat
+            if (left != null) room[checkNotNull(team)] = left - request
+            total += request
+        }
+    }
+    return total
+}
+
 private fun <T> Iterable<T>.sum(amount: (T) -> Resources): Resources =
     fold(Resources.None) { total, element -> total + amount(element) }
 
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Job.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Job.kt
@@ -120,28 +120,27 @@
 public enum class JobState { Queued, Active, Completed, Failed, Cancelled }
 
 /**
- * What is durable of a job's execution. Runs are not part of it: executors list what runs.
+ * What is durable of a job's execution.
+ *
+ * A run is part of it before its start is ordered, so that a new owner knows every run that may exist.
  *
  * @property completed tasks that have completed
- * @property failures failed runs per task; tasks without failures are absent
+ * @property failures numbers of the failed runs per task; tasks without failures are absent
  * @property checkpoints newest checkpoint per task that is not running
+ * @property started runs that exist or may exist
  */
 public data class JobProgress(
     public val state: JobState = JobState.Queued,
     public val completed: Set<TaskPosition> = emptySet(),
-    public val failures: Map<TaskPosition, FailedRuns> = emptyMap(),
+    public val failures: Map<TaskPosition, Set<Long>> = emptyMap(),
     public val checkpoints: Map<TaskPosition, String> = emptyMap(),
+    public val started: Map<TaskPosition, StartedRun> = emptyMap(),
 )
 
-/**
- * Failed runs of a task.
- *
- * Executors list an end until it is acknowledged, so that a new owner may see one that is already counted. Run numbers
- * of a task rise, so that the last counted one tells them apart.
- */
-public data class FailedRuns(
-    public val count: Int,
-    public val lastRun: Long,
+/** A run whose start was ordered, or is about to be. */
+public data class StartedRun(
+    public val executor: ExecutorIdentifier,
+    public val run: Long,
 )
 
 /** A task within its job. */
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobRows.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobRows.kt
@@ -6,8 +6,12 @@
 /** What a task is doing. */
 internal enum class TaskPhase { Waiting, Ready, Active, Done }
 
-/** How certain it is that a run is there. */
-internal enum class RunPhase { Starting, Running, Stopping }
+/**
+ * How certain it is that a run is there.
+ *
+ * [Planned] runs are not ordered yet, [Inherited] ones were ordered by an earlier owner, [Starting] ones have no answer.
+ */
+internal enum class RunPhase { Planned, Inherited, Starting, Running, Stopping }
 
 /**
  * A run that exists or may exist on an executor.
@@ -21,8 +25,8 @@
     val executor: ExecutorIdentifier,
     val run: Long,
     val startedAt: Instant,
-    val startDeadline: Duration,
-    var phase: RunPhase = RunPhase.Starting,
+    var startDeadline: Duration,
+    var phase: RunPhase,
     var confirmedAt: Instant? = null,
     var stopSentAt: Instant? = null,
     var stopReason: StopReason? = null,
@@ -39,8 +43,7 @@
     val name: TaskName,
     var phase: TaskPhase = TaskPhase.Waiting,
     var active: ActiveRun? = null,
-    var failures: Int = 0,
-    var lastFailedRun: Long = 0,
+    var failedRuns: Set<Long> = emptySet(),
     var checkpoint: String = "",
     var notBefore: Instant = Instant.DISTANT_PAST,
     var readySince: Instant = Instant.DISTANT_PAST,
@@ -76,7 +79,6 @@
 /** A job with its execution. Identity matters, not content. */
 internal class JobRow(
     val job: Job,
-    val acceptedAfterTakeover: Boolean,
 ) {
     val steps: MutableMap<Int, List<StepRow>> = sortedMapOf()
     var state: JobState = JobState.Queued
@@ -85,6 +87,12 @@
     val ended: Boolean
         get() = state == JobState.Completed || state == JobState.Failed || state == JobState.Cancelled
 
+    /** Tells whether a task of [occurrence] runs or has completed. */
+    fun begun(occurrence: Int): Boolean =
+        steps[occurrence].orEmpty().any { step ->
+            step.tasks.any { it.phase == TaskPhase.Active || it.phase == TaskPhase.Done }
+        }
+
     fun task(name: TaskName): TaskRow? =
         steps[name.occurrence]?.getOrNull(name.step)?.tasks?.getOrNull(name.index)
 
@@ -95,15 +103,17 @@
 
     fun progress(): JobProgress {
         val completed = mutableSetOf<TaskPosition>()
-        val failures = mutableMapOf<TaskPosition, FailedRuns>()
+        val failures = mutableMapOf<TaskPosition, Set<Long>>()
+        val started = mutableMapOf<TaskPosition, StartedRun>()
         val checkpoints = mutableMapOf<TaskPosition, String>()
         for (row in allTasks()) {
             val position = TaskPosition(row.name.occurrence, row.name.step, row.name.index)
             if (row.phase == TaskPhase.Done) completed += position
+            row.active?.let { started[position] = StartedRun(it.executor, it.run) }
             if (ended) continue
-            if (row.failures > 0) failures[position] = FailedRuns(row.failures, row.lastFailedRun)
+            if (row.failedRuns.isNotEmpty()) failures[position] = row.failedRuns
             if (row.checkpoint.isNotEmpty() && row.phase != TaskPhase.Done) checkpoints[position] = row.checkpoint
         }
-        return JobProgress(state, completed, failures, checkpoints)
+        return JobProgress(state, completed, failures, checkpoints, started)
     }
 }
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobTransitions.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobTransitions.kt
@@ -1,5 +1,6 @@
 package dogwoodgrade.scheduling
 
+import kotlin.time.Duration
 import kotlin.time.Instant
 
 /**
@@ -11,42 +12,41 @@
     private val tables: FleetTables,
     private val policy: SchedulingPolicy,
 ) {
-    fun accept(job: Job, progress: JobProgress?, afterTakeover: Boolean, now: Instant, wall: Instant) {
+    fun accept(job: Job, progress: JobProgress?, now: Instant, wall: Instant) {
         if (job.identifier in tables.jobs) return
-        val row = JobRow(job, afterTakeover)
+        val row = JobRow(job)
         tables.jobs[job.identifier] = row
         row.state = progress?.state ?: JobState.Queued
-        if (row.ended) {
-            row.endedAt = now
-            return
-        }
-        progress
-            ?.completed
-            ?.map { it.occurrence }
-            ?.distinct()
-            ?.forEach { createOccurrence(row, it) }
+        if (row.ended) row.endedAt = now
         createDueOccurrences(row, wall)
-        progress?.let { restore(row, it) }
+        progress?.let { restore(row, it, now) }
         releaseSteps(row, now)
         completeIfDone(row, now)
     }
 
-    private fun restore(row: JobRow, progress: JobProgress) {
-        progress.failures.keys
-            .map { it.occurrence }
-            .forEach { createOccurrence(row, it) }
+    private fun restore(row: JobRow, progress: JobProgress, now: Instant) {
+        val positions = progress.completed + progress.failures.keys + progress.started.keys
+        positions.mapTo(mutableSetOf()) { it.occurrence }.forEach { createOccurrence(row, it) }
         for (task in row.allTasks()) {
             val position = TaskPosition(task.name.occurrence, task.name.step, task.name.index)
             if (position in progress.completed) task.phase = TaskPhase.Done
-            progress.failures[position]?.let {
-                task.failures = it.count
-                task.lastFailedRun = it.lastRun
-                task.lastRun = it.lastRun
-            }
+            progress.started[position]?.let { inherit(task, it, now) }
+            if (row.ended && task.active != null) tables.stopsWanted[task.name] = StopReason.JobEnded
+            task.failedRuns = progress.failures[position].orEmpty()
+            task.lastRun = maxOf(task.lastRun, task.failedRuns.maxOrNull() ?: 0)
             task.checkpoint = progress.checkpoints[position].orEmpty()
         }
     }
 
+    /** A run of an earlier owner counts until its executor has answered or every grant of that owner has ended. */
+    private fun inherit(task: TaskRow, started: StartedRun, now: Instant) {
+        task.lastRun = started.run
+        if (started.executor !in tables.executors) return
+        val done = task.phase == TaskPhase.Done
+        tables.activate(task, ActiveRun(started.executor, started.run, now, Duration.ZERO, RunPhase.Inherited))
+        if (done) task.phase = TaskPhase.Done
+    }
+
     private fun createOccurrence(row: JobRow, occurrence: Int) {
         row.steps.getOrPut(occurrence) {
             row.job.steps.mapIndexed { number, step -> StepRow(row, occurrence, number, step) }
@@ -129,12 +129,11 @@
     fun countFailure(task: TaskRow, run: Long, now: Instant) {
         val step = tables.stepOf(task.name) ?: return
         if (step.job.ended) return
-        if (!step.step.longRunning && run > task.lastFailedRun) {
-            task.failures++
-            task.lastFailedRun = run
+        if (!step.step.longRunning && run !in task.failedRuns) {
+            task.failedRuns += run
             tables.changed += task.name.job
             val attempts = tables.configuration.queues[step.job.job.queue]?.attempts ?: Int.MAX_VALUE
-            if (task.failures >= attempts) {
+            if (task.failedRuns.size >= attempts) {
                 end(step.job, JobState.Failed, now, StopReason.JobEnded)
                 return
             }
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ListingProcessor.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ListingProcessor.kt
@@ -15,7 +15,6 @@
     private val policy: SchedulingPolicy,
 ) {
     fun process(executor: ExecutorRow, listing: ExecutorListing, requestedAt: Instant, now: Instant) {
-        tables.unsettled -= executor.identifier
         if (listing.incarnation != executor.report.incarnation) {
             if (listing.incarnation > executor.report.incarnation) restart(executor, listing.incarnation, now)
             return
@@ -34,6 +33,8 @@
         tables.events += SchedulerEvent(null, executor.identifier, "restarted incarnation=$incarnation")
         loseRuns(executor, now)
         executor.report = executor.report.copy(incarnation = incarnation)
+        // A new owner would take runs of this life for lost if it knew only the earlier one.
+        executor.recorded = false
         executor.clock = null
         executor.listedAt = null
         executor.grantedUntil = Duration.ZERO
@@ -94,7 +95,7 @@
         if (task.phase == TaskPhase.Done) return
         task.lastFailedOn = executor.identifier
         // A task that has failed before says more about its job than about the executor.
-        if (task.failures == 0) blame(executor, task, now)
+        if (task.failedRuns.isEmpty()) blame(executor, task, now)
         transitions.countFailure(task, run, now)
         restartGang(task, now)
     }
@@ -144,7 +145,7 @@
         task.phase != TaskPhase.Done && (!row.ended || task.active != null)
 
     private fun adopt(executor: ExecutorRow, task: TaskRow, listed: ListedRun, now: Instant) {
-        val run = ActiveRun(executor.identifier, listed.run, now, Duration.ZERO, RunPhase.Running, now)
+        val run = ActiveRun(executor.identifier, listed.run, now, Duration.ZERO, RunPhase.Running, confirmedAt = now)
         tables.activate(task, run)
         update(run, listed, now)
         tables.events +=
@@ -152,7 +153,7 @@
     }
 
     private fun update(active: ActiveRun, listed: ListedRun, now: Instant) {
-        if (active.phase == RunPhase.Starting) active.phase = RunPhase.Running
+        if (active.phase != RunPhase.Stopping) active.phase = RunPhase.Running
         if (active.confirmedAt == null) active.confirmedAt = now
         if (listed.checkpoint.isNotEmpty()) active.checkpoint = listed.checkpoint
         if (listed.percent != active.percent) {
@@ -174,10 +175,7 @@
         val listed = listing.running.associate { it.task to it.run }
         for ((name, run) in executor.runs.toList()) {
             if (listed[name] == run.run) continue
-            val confirmedAt = run.confirmedAt
-            val missing =
-                if (confirmedAt != null) requestedAt > confirmedAt else listing.clock > run.startDeadline
-            if (!missing) continue
+            if (!isMissing(run, listing, requestedAt)) continue
             val task = tables.task(name) ?: continue
             tables.events += SchedulerEvent(name.job, executor.identifier, "run missing task=$name run=${run.run}")
             if (run.checkpoint.isNotEmpty()) task.checkpoint = run.checkpoint
@@ -186,6 +184,20 @@
         }
     }
 
+    /**
+     * Tells whether a run that is not listed cannot exist. The listing has fenced the orders of earlier owners, so that
+     * inherited runs that are not listed never start.
+     */
+    private fun isMissing(run: ActiveRun, listing: ExecutorListing, requestedAt: Instant): Boolean {
+        val confirmedAt = run.confirmedAt
+        return when {
+            run.phase == RunPhase.Planned -> false
+            run.phase == RunPhase.Inherited -> true
+            confirmedAt != null -> requestedAt > confirmedAt
+            else -> listing.clock > run.startDeadline
+        }
+    }
+
     private val strays = mutableMapOf<StrayRun, Instant>()
     private val strayStops = mutableListOf<Order.Stop>()
 
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
@@ -35,6 +35,7 @@
  * @property ends ends that may be acknowledged afterwards
  * @property executors executors on which runs may start afterwards
  * @property goneExecutors executors on which nothing can run any more
+ * @property starts starts that may be ordered afterwards
  */
 public data class ProgressBatch(
     public val progress: Map<JobIdentifier, JobProgress>,
@@ -43,6 +44,7 @@
     public val incarnations: Map<ExecutorIdentifier, Long>,
     public val executors: List<ExecutorReport>,
     public val goneExecutors: List<ExecutorIdentifier>,
+    public val starts: List<PlannedStart>,
 )
 
 /**
@@ -62,11 +64,10 @@
     private val starts = StartPlanner(tables, policy, nextRun)
     private val pace = PaceController(tables)
     private val beyondEntitlement = mutableSetOf<JobIdentifier>()
-    private var executorsKnown = false
     private var settledAt = Instant.DISTANT_PAST
 
     /** Returns what is known of pools and their load. */
-    public fun fleet(now: Instant): FleetView = fleetView(tables, now)
+    public fun fleet(now: Instant, wall: Instant): FleetView = fleetView(tables, now, wall)
 
     /**
      * Starts ownership.
@@ -81,7 +82,6 @@
             row.vanished = true
             row.recorded = true
             tables.executors[report.identifier] = row
-            tables.unsettled[report.identifier] = report.pool
         }
     }
 
@@ -95,10 +95,10 @@
     }
 
     /** Adds a job, with [progress] if it is known from before. A known identifier is ignored. */
-    public fun accept(job: Job, progress: JobProgress?, afterTakeover: Boolean, now: Instant, wall: Instant) {
+    public fun accept(job: Job, progress: JobProgress?, now: Instant, wall: Instant) {
         if (job.identifier in tables.jobs) return
         if (!starts.admit(job, now)) beyondEntitlement += job.identifier
-        transitions.accept(job, progress, afterTakeover, now, wall)
+        transitions.accept(job, progress, now, wall)
         tables.events += SchedulerEvent(job.identifier, null, "accepted queue=${job.queue} steps=${summary(job)}")
     }
 
@@ -127,7 +127,6 @@
 
     /** Replaces the live list. Executors that it lacks get no more work, but their runs count until they expire. */
     public fun executorsReported(reports: List<ExecutorReport>, now: Instant) {
-        executorsKnown = true
         val present = reports.associateBy { it.identifier }
         for (report in reports) {
             val row = tables.executors.getOrPut(report.identifier) { ExecutorRow(report) }
@@ -140,11 +139,9 @@
         dropVanished(now)
     }
 
-    /** Executors of earlier owners are kept until their grants have ended: they may still answer. */
     private fun dropVanished(now: Instant) {
         tables.executors.values
             .filter { it.vanished && !it.reachable && it.runs.isEmpty() }
-            .filter { it.identifier !in tables.unsettled || now >= settledAt }
             .forEach { tables.dropExecutor(it.identifier) }
     }
 
@@ -253,8 +250,9 @@
                 transitions.releaseSteps(row, now)
             }
         }
-        val inputs = PlanInputs(now, wall, ownedUntil, settledAt, executorsKnown, evacuated, beyondEntitlement)
-        val orders = stops.plan(now) + starts.plan(inputs) + pace.plan(now)
+        val inputs = PlanInputs(now, wall, evacuated, beyondEntitlement)
+        starts.plan(inputs)
+        val orders = stops.plan(now) + pace.plan(now)
         return SchedulerPlan(orders, starts.adviceWanted.toList(), takeEvents())
     }
 
@@ -262,7 +260,8 @@
     private fun expireGrants(now: Instant) {
         for (row in tables.executors.values) {
             if (row.reachable || row.runs.isEmpty()) continue
-            if (row.reaches(row.grantedUntil, policy.clockError) + policy.expiryMargin > now) continue
+            val expiry = row.reaches(row.grantedUntil, policy.clockError) + policy.expiryMargin
+            if (maxOf(expiry, settledAt) > now) continue
             tables.events += SchedulerEvent(null, row.identifier, "grants expired runs=${row.runs.size}")
             listings.loseRuns(row, now)
         }
@@ -282,6 +281,8 @@
         val progress = tables.changed.mapNotNull { id -> tables.jobs[id]?.let { id to it.progress() } }.toMap()
         tables.changed.clear()
         tables.goneExecutors.clear()
+        val starts = tables.plannedStarts.toList()
+        tables.plannedStarts.clear()
         return ProgressBatch(
             progress,
             forgotten,
@@ -289,16 +290,22 @@
             ends.associate { it.identifier to it.report.incarnation },
             unrecorded,
             gone,
+            starts,
         )
     }
 
-    /** [batch] is durable; executors may forget its ends. */
-    public fun durable(batch: ProgressBatch) {
+    /**
+     * [batch] is durable: executors may forget its ends.
+     *
+     * @return the start orders to send now
+     */
+    public fun durable(batch: ProgressBatch, ownedUntil: Instant, now: Instant): List<Order.Start> {
         batch.executors.forEach { tables.executors[it.identifier]?.recorded = true }
         for ((identifier, number) in batch.ends) {
             val row = tables.executors[identifier] ?: continue
             if (row.report.incarnation == batch.incarnations[identifier]) row.durableEnd = maxOf(row.durableEnd, number)
         }
+        return batch.starts.mapNotNull { starts.dispatch(it, ownedUntil, now) }
     }
 
     private fun takeEvents(): List<SchedulerEvent> = tables.events.toList().also { tables.events.clear() }
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/StartPlanner.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/StartPlanner.kt
@@ -6,9 +6,8 @@
 /**
  * Decides which waiting tasks start where.
  *
- * After a takeover, tasks of older jobs may still run on executors that have not answered the new owner. Until all
- * executors of the pool have answered, or every grant of the previous owner has ended, only jobs that were accepted
- * after the takeover start.
+ * A planned run is made durable before its start is ordered. An owner that has been replaced cannot make it durable,
+ * and its successor knows of every run that may exist.
  */
 internal class StartPlanner(
     private val tables: FleetTables,
@@ -28,18 +27,15 @@
         return entitlements.getOrPut(team.name) { Entitlement(team.weight * 2, now) }.take(team.weight, now)
     }
 
-    fun plan(inputs: PlanInputs): List<Order> {
+    fun plan(inputs: PlanInputs) {
         adviceWanted.clear()
-        val orders = mutableListOf<Order>()
         for ((pool, ready) in tables.readySteps) {
             ready.removeIf { it.job.ended || !it.hasReady }
             if (ready.isEmpty()) continue
             val executors = tables.executors.values.filter { it.report.pool == pool }
-            val settled = inputs.now >= inputs.settledAt || inputs.executorsKnown && pool !in tables.unsettled.values
-            val ranked = ready.filter { settled || it.job.acceptedAfterTakeover }.map { rank(it, inputs) to it }
-            for ((_, row) in ranked.sortedBy { it.first }) startStep(row, executors, inputs, orders)
+            val ranked = ready.map { rank(it, inputs) to it }
+            for ((_, row) in ranked.sortedBy { it.first }) startStep(row, executors, inputs)
         }
-        return orders
     }
 
     private fun rank(row: StepRow, inputs: PlanInputs): Rank {
@@ -47,13 +43,13 @@
         return rankOf(row, queue, row.job.job.identifier in inputs.beyondEntitlement, inputs.now, inputs.wall)
     }
 
-    private fun startStep(row: StepRow, executors: List<ExecutorRow>, inputs: PlanInputs, orders: MutableList<Order>) {
+    private fun startStep(row: StepRow, executors: List<ExecutorRow>, inputs: PlanInputs) {
         val needsTicket = tables.configuration.queues[row.job.job.queue]?.needsAdvice == true
         val context = PlacementContext(inputs.now, inputs.evacuated, needsTicket)
         if (needsTicket) requestAdvice(row, executors, inputs)
         val allowed = allowedExecutors(row, executors, context)
         if (row.step.gang) {
-            startGang(row, allowed, inputs, orders)
+            startGang(row, allowed, inputs)
             return
         }
         for (task in row.tasks) {
@@ -64,11 +60,11 @@
                 if (row.step.longRunning && !row.step.usesSpareCapacity) preempt(row, task, allowed, inputs.now)
                 return
             }
-            start(row, task, executor, nextRun(), inputs)?.let { orders += it }
+            start(task, executor, nextRun(), inputs)
         }
     }
 
-    private fun startGang(row: StepRow, allowed: List<ExecutorRow>, inputs: PlanInputs, orders: MutableList<Order>) {
+    private fun startGang(row: StepRow, allowed: List<ExecutorRow>, inputs: PlanInputs) {
         if (row.tasks.any { it.phase != TaskPhase.Ready || it.notBefore > inputs.now }) return
         val team = row.job.job.team
         if (team != null && !row.tasks.indices.all { withinCap(row, it + 1) }) return
@@ -80,7 +76,7 @@
             .orEmpty()
         for ((task, executor) in placed) {
             task.checkpoint = checkpoint
-            start(row, task, executor, run, inputs)?.let { orders += it }
+            start(task, executor, run, inputs)
         }
     }
 
@@ -92,27 +88,33 @@
         return cap.admits(use, row.step.request)
     }
 
-    private fun start(row: StepRow, task: TaskRow, executor: ExecutorRow, run: Long, inputs: PlanInputs): Order? {
-        val clock = executor.estimatedClock(inputs.now) ?: return null
-        val travel = minOf(policy.startDeadline, inputs.ownedUntil - inputs.now)
-        if (travel <= Duration.ZERO) return null
+    private fun start(task: TaskRow, executor: ExecutorRow, run: Long, inputs: PlanInputs) {
+        val number = maxOf(run, task.lastRun + 1)
+        val active =
+            ActiveRun(executor.identifier, number, inputs.now, Duration.ZERO, RunPhase.Planned, checkpoint = task.checkpoint)
+        tables.activate(task, active)
+        tables.plannedStarts += PlannedStart(task.name, executor.identifier, number)
+    }
+
+    /** Turns a planned start whose run is durable into an order, unless the run is not wanted any more. */
+    fun dispatch(planned: PlannedStart, ownedUntil: Instant, now: Instant): Order.Start? {
+        val task = tables.task(planned.task) ?: return null
+        val row = tables.stepOf(planned.task) ?: return null
+        val run = task.active?.takeIf { it.run == planned.run && it.phase == RunPhase.Planned } ?: return null
+        val executor = tables.executors[planned.executor]
+        val clock = executor?.estimatedClock(now)
+        val travel = minOf(policy.startDeadline, ownedUntil - now)
+        if (executor == null || clock == null || travel <= Duration.ZERO || planned.task in tables.stopsWanted) {
+            tables.release(task)
+            tables.requeue(task, now, now)
+            return null
+        }
         val deadline = clock + travel
         executor.grantedUntil = maxOf(executor.grantedUntil, deadline)
-        val number = maxOf(run, task.lastRun + 1)
-        tables.activate(
-            task,
-            ActiveRun(executor.identifier, number, inputs.now, deadline, checkpoint = task.checkpoint),
-        )
+        run.startDeadline = deadline
+        run.phase = RunPhase.Starting
         val ticket = row.tickets[executor.identifier]?.text
-        return Order.Start(
-            executor.identifier,
-            task.name,
-            number,
-            row.job.job.payload,
-            deadline,
-            task.checkpoint,
-            ticket,
-        )
+        return Order.Start(executor.identifier, task.name, run.run, row.job.job.payload, deadline, run.checkpoint, ticket)
     }
 
     /** Makes room for a long-running task that has waited, on the executor where the least batch work is lost. */
@@ -168,16 +170,10 @@
  * Inputs of one plan.
  *
  * @property wall time of day, for the times of repeated jobs
- * @property ownedUntil end of the ownership lease, beyond which no order may be executed
- * @property settledAt when every grant of the previous owner has ended
- * @property executorsKnown the live list has been read since the takeover
  */
 internal data class PlanInputs(
     val now: Instant,
     val wall: Instant,
-    val ownedUntil: Instant,
-    val settledAt: Instant,
-    val executorsKnown: Boolean,
     val evacuated: Set<String>,
     val beyondEntitlement: Set<JobIdentifier>,
 )
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/StopPlanner.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/StopPlanner.kt
@@ -27,6 +27,8 @@
                 tables.stopsWanted -= name
                 continue
             }
+            // A run that is not ordered yet is given up when its start is due.
+            if (run.phase == RunPhase.Planned) continue
             val sentAt = run.stopSentAt
             if (sentAt != null && now - sentAt < stopRepeat) continue
             run.stopSentAt = now
@@ -49,7 +51,6 @@
                     tables.stopsWanted[name] = StopReason.Moved
                 }
             }
-            if (now < executor.avoidUntil) continue
         }
     }
 
--- a/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SimulatedFleet.kt
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SimulatedFleet.kt
@@ -74,7 +74,7 @@
         )
         scheduler.begin(settledAt, recorded.values.toList())
         for (job in jobs.values) {
-            scheduler.accept(job, durable[job.identifier], false, now, now)
+            scheduler.accept(job, durable[job.identifier], now, now)
             if (job.identifier in cancelled) scheduler.cancel(job.identifier, now)
         }
         scheduler.executorsReported(executors.map { it.report }, now)
@@ -83,7 +83,7 @@
 
     fun submit(job: Job) {
         jobs[job.identifier] = job
-        scheduler.accept(job, null, true, now, now)
+        scheduler.accept(job, null, now, now)
     }
 
     fun cancel(job: JobIdentifier) {
@@ -113,7 +113,7 @@
             durable += batch.progress
             batch.executors.forEach { recorded[it.identifier] = it }
             recorded -= batch.goneExecutors.toSet()
-            scheduler.durable(batch)
+            scheduler.durable(batch, leaseEnd, now).forEach { send(it) }
         }
         check()
     }
