Add a stand-in of the platform and tests of the whole path over loopback

Cause: a cancellation at another entry instance was answered 410 right after the submission: the job table may be up to 1.5 s behind while a long read waits.

Change: an unknown job is looked for in what the log has beyond the table; the store, executors and their faults have a stand-in, on which eight tests run.

--- a/node/src/main/kotlin/dogwoodgrade/node/CallerHandler.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/CallerHandler.kt
@@ -25,19 +25,21 @@
 /** When a refused caller may come back. */
 private val retryAfter: Duration = 1.seconds
 
-/** Longest age of the job table at which an unknown job is known not to exist. */
-private val freshness: Duration = 2.seconds
-
 /** Pause between two looks at a job table that is behind. */
-private val catchUpPause: Duration = 50.milliseconds
+private val catchUpPause: Duration = 20.milliseconds
 
-/** Answers callers from the tables, and makes durable what they submit. */
+/**
+ * Answers callers from the tables, and makes durable what they submit.
+ *
+ * @param endOfJobs asks the log where the jobs' topic ends; `null` if it gives no answer
+ */
 internal class CallerHandler(
     private val configuration: ConfigurationTable,
     private val jobs: JobTable,
     private val intake: JobIntake,
     private val clock: NodeClock,
     private val metrics: NodeMetrics,
+    private val endOfJobs: suspend () -> Long?,
 ) {
     /** Returns the reply to [request]. */
     suspend fun handle(request: CallerRequest): CallerReply {
@@ -126,22 +128,25 @@
         }
     }
 
-    /** Returns the job, waiting within the caller's time while the table is behind the log. */
+    /** Returns the job; one that is not in the table is looked for in what the log has beyond the table. */
     private suspend fun find(identifier: JobIdentifier, request: CallerRequest): KnownJob? {
+        jobs[identifier]?.let { return it }
+        val end = endOfJobs() ?: return null
         val until = clock.now() + limitOf(request) / 2
-        while (true) {
-            jobs[identifier]?.let { return it }
-            val now = clock.now()
-            if (now - jobs.completeAt() <= freshness || now >= until) return null
-            delay(catchUpPause)
-        }
+        while (jobs.readTo() < end && clock.now() < until) delay(catchUpPause)
+        return jobs[identifier]
     }
 
-    /** A job that is not in the table does not exist if the table is up to date. */
-    private fun unknown(identifier: JobIdentifier): CallerReply {
-        val age = clock.now() - jobs.completeAt()
-        logger.info { "caller: unknown job=$identifier table_age=$age" }
-        return if (age <= freshness) CallerReply.NoSuchJob else CallerReply.NotRun(retryAfter)
+    /** A job that is not in the table does not exist if the table has all of the log. */
+    private suspend fun unknown(identifier: JobIdentifier): CallerReply {
+        val end = endOfJobs()
+        val readTo = jobs.readTo()
+        logger.info { "caller: unknown job=$identifier read_to=$readTo end=$end" }
+        return if (end != null && readTo >= end && jobs[identifier] == null) {
+            CallerReply.NoSuchJob
+        } else {
+            CallerReply.NotRun(retryAfter)
+        }
     }
 
     private companion object {
--- a/node/src/main/kotlin/dogwoodgrade/node/JobTable.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/JobTable.kt
@@ -100,7 +100,7 @@
     @Synchronized
     fun readTo(): Long = nextOffset
 
-    /** Latest time at which the table had all that was in the topic. */
+    /** Latest time at which the table had all that was in the topic, or the distant past. */
     @Synchronized
     fun completeAt(): Instant = readAt
 
--- a/node/src/main/kotlin/dogwoodgrade/node/Node.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/Node.kt
@@ -13,6 +13,7 @@
 import dogwoodgrade.platform.MachinesClient
 import dogwoodgrade.platform.NodeSettings
 import dogwoodgrade.platform.Producer
+import dogwoodgrade.platform.ReadOutcome
 import dogwoodgrade.platform.StoreClient
 import dogwoodgrade.platform.Topic
 import dogwoodgrade.platform.readOperatorRecord
@@ -97,7 +98,7 @@
             NodeMetrics(),
         )
     private val intake = JobIntake(parts.store, "entry-${settings.entry}-$incarnation", clock, parts.contact)
-    private val handler = CallerHandler(parts.configuration, parts.jobs, intake, clock, parts.metrics)
+    private val handler = CallerHandler(parts.configuration, parts.jobs, intake, clock, parts.metrics, ::endOfJobs)
     private val server = CallerServer(vertx, scope, handler::handle, ::ready, parts.metrics::text)
 
     @Volatile
@@ -151,6 +152,9 @@
         parts.ownership.read(followed, clock.now())
     }
 
+    private suspend fun endOfJobs(): Long? =
+        (parts.store.read(Topic.Jobs, parts.jobs.readTo(), Duration.ZERO) as? ReadOutcome.Records)?.endOffset
+
     private suspend fun ownInTurn() {
         while (!stopping) {
             val view = parts.ownership.view()
--- /dev/null
+++ b/node/src/test/kotlin/dogwoodgrade/node/NodePathTest.kt
@@ -0,0 +1,104 @@
+package dogwoodgrade.node
+
+import dogwoodgrade.platform.standin.StoreFaults
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/** The whole path over loopback, against the stand-in platform: callers, log, owner, executors. */
+class NodePathTest {
+    private fun onPlatform(executors: Int = 3, nodes: Int = 2, test: suspend TestPlatform.() -> Unit) =
+        runBlocking {
+            val platform = TestPlatform()
+            try {
+                platform.start(executors)
+                repeat(nodes) { platform.awaitReady(platform.startNode("entry-$it")) }
+                platform.test()
+                assertEquals(emptyList<String>(), platform.executors.flatMap { it.doubled })
+            } finally {
+                platform.stop()
+            }
+        }
+
+    private fun TestPlatform.state(node: TestNode, job: String): String = call(node, "GET", "/queue/$job").second
+
+    @Test
+    fun `a job that one instance accepts completes and shows so at the other`() =
+        onPlatform {
+            assertEquals(200, call(nodes[0], "POST", "/queue/a1", TestPlatform.TWO_STEPS).first)
+            await("completed") { state(nodes[1], "a1") == """{"state":"completed"}""" }
+            assertEquals(3, executors.sumOf { it.starts.size })
+        }
+
+    @Test
+    fun `the same identifier at two instances is one job`() =
+        onPlatform {
+            assertEquals(200, call(nodes[0], "POST", "/queue/a1", TestPlatform.TWO_STEPS).first)
+            assertEquals(200, call(nodes[1], "POST", "/queue/a1", TestPlatform.TWO_STEPS).first)
+            await("completed") { state(nodes[0], "a1") == """{"state":"completed"}""" }
+            delay(500)
+            assertEquals(3, executors.sumOf { it.starts.size })
+        }
+
+    @Test
+    fun `unknown keys, queues and jobs are told apart`() =
+        onPlatform(nodes = 1) {
+            assertEquals(401, call(nodes[0], "POST", "/queue/a1", TestPlatform.TWO_STEPS, key = "other").first)
+            assertEquals(404, call(nodes[0], "POST", "/nowhere/a1", TestPlatform.TWO_STEPS).first)
+            assertEquals(410, call(nodes[0], "GET", "/queue/a9").first)
+            assertEquals(400, call(nodes[0], "POST", "/queue/a1", "{").first)
+        }
+
+    @Test
+    fun `a job completes after its owner was killed in the middle of it`() =
+        onPlatform(nodes = 2) {
+            repeat(6) { assertEquals(200, call(nodes[1], "POST", "/queue/a$it", TestPlatform.TWO_STEPS).first) }
+            await("first starts") { executors.sumOf { it.starts.size } > 2 }
+            nodes.removeAt(0).kill()
+            repeat(6) { job -> await("a$job completed") { state(nodes[0], "a$job") == """{"state":"completed"}""" } }
+        }
+
+    @Test
+    fun `a submission whose append got no answer is not refused and not doubled`() =
+        onPlatform(nodes = 2) {
+            store.faults = StoreFaults(loseAnswersOfAppends = true)
+            assertEquals(504, call(nodes[0], "POST", "/queue/a1", TestPlatform.TWO_STEPS).first)
+            store.faults = StoreFaults()
+            assertEquals(200, call(nodes[1], "POST", "/queue/a1", TestPlatform.TWO_STEPS).first)
+            await("completed") { state(nodes[1], "a1") == """{"state":"completed"}""" }
+            assertEquals(3, executors.sumOf { it.starts.size })
+        }
+
+    @Test
+    fun `a store that refuses gives a refusal that is true`() =
+        onPlatform(nodes = 1) {
+            store.faults = StoreFaults(refuse = true)
+            assertEquals(503, call(nodes[0], "POST", "/queue/a1", TestPlatform.TWO_STEPS).first)
+            store.faults = StoreFaults()
+            delay(1000)
+            assertEquals(410, call(nodes[0], "GET", "/queue/a1").first)
+            assertTrue(executors.all { it.starts.isEmpty() })
+        }
+
+    @Test
+    fun `a cancelled job starts nothing more`() =
+        onPlatform(nodes = 2) {
+            assertEquals(200, call(nodes[0], "POST", "/queue/a1", TestPlatform.TWO_STEPS).first)
+            assertEquals(200, call(nodes[1], "DELETE", "/queue/a1").first)
+            await("cancelled") { state(nodes[0], "a1") == """{"state":"cancelled"}""" }
+            delay(1500)
+            assertTrue(executors.sumOf { it.starts.size } <= 2, "the second step must not start")
+        }
+
+    @Test
+    fun `records that the store has forgotten are read again from the newest of each key`() =
+        onPlatform(nodes = 2) {
+            store.forget("keyed.dogwoodgrade-jobs")
+            store.forget("keyed.dogwoodgrade-progress")
+            store.forget("keyed.servers")
+            assertEquals(200, call(nodes[0], "POST", "/queue/a1", TestPlatform.TWO_STEPS).first)
+            await("completed") { state(nodes[1], "a1") == """{"state":"completed"}""" }
+        }
+}
--- /dev/null
+++ b/node/src/test/kotlin/dogwoodgrade/node/TestPlatform.kt
@@ -0,0 +1,121 @@
+package dogwoodgrade.node
+
+import dogwoodgrade.platform.SettingsOutcome
+import dogwoodgrade.platform.readNodeSettings
+import dogwoodgrade.platform.standin.StandInExecutor
+import dogwoodgrade.platform.standin.StandInStore
+import io.vertx.core.Vertx
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeout
+import java.net.ServerSocket
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import kotlin.time.Duration.Companion.seconds
+
+/** Longest wait of a test for something that has to happen; generous, since machines are shared. */
+private val testLimit = 40.seconds
+
+/** An entry instance in this process, with its own scope so that it can be ended at any moment. */
+internal class TestNode(
+    val name: String,
+    val port: Int,
+    private val vertx: Vertx,
+    private val scope: CoroutineScope,
+    val node: Node,
+) {
+    /** Ends the instance without notice, as a kill does. */
+    suspend fun kill() {
+        scope.cancel()
+        vertx.close().coAwait()
+    }
+}
+
+/** The stand-in platform with executors of one pool, and entry instances on it, over loopback. */
+internal class TestPlatform(
+    private val runTime: Long = 300,
+) {
+    private val vertx: Vertx = Vertx.vertx()
+    private val client = HttpClient.newHttpClient()
+    val store = StandInStore(vertx)
+    val executors = mutableListOf<StandInExecutor>()
+    val nodes = mutableListOf<TestNode>()
+
+    suspend fun start(executorCount: Int) {
+        store.start()
+        store.write("keyed.op", "config", CONFIGURATION)
+        repeat(executorCount) { number ->
+            val executor = StandInExecutor(vertx, "x$number", "pool", "zone-a", runTime)
+            executors += executor
+            store.write("keyed.servers", "x$number", executor.start())
+        }
+    }
+
+    suspend fun startNode(name: String): TestNode {
+        val port = freePort()
+        val settings =
+            readNodeSettings(
+                """
+                {"node-name":"$name","zone":"zone-a","bootstrap":true,
+                 "listen":{"frontend":"127.0.0.1:$port","readiness":"127.0.0.1:${freePort()}"},
+                 "bounds":{"max-hold-ms":6000,"grace-s":4},"platform":{"address":"127.0.0.1:${store.port}"}}
+                """.trimIndent(),
+            )
+        val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+        val own = Vertx.vertx()
+        val node = Node((settings as SettingsOutcome.Valid).settings, own, scope)
+        node.start()
+        return TestNode(name, port, own, scope, node).also { nodes += it }
+    }
+
+    private fun freePort(): Int = ServerSocket(0).use { it.localPort }
+
+    /** Sends a request to [node] and returns status and body. */
+    fun call(node: TestNode, method: String, path: String, body: String? = null, key: String? = "key-1"): Pair<Int, String> {
+        val publisher = body?.let { HttpRequest.BodyPublishers.ofString(it) } ?: HttpRequest.BodyPublishers.noBody()
+        val request =
+            HttpRequest
+                .newBuilder(URI("http://localhost:${node.port}$path"))
+                .version(HttpClient.Version.HTTP_1_1)
+                .method(method, publisher)
+        key?.let { request.header("Api-Key", it) }
+        val response = client.send(request.build(), HttpResponse.BodyHandlers.ofString())
+        return response.statusCode() to response.body()
+    }
+
+    /** Waits until [condition] holds. */
+    suspend fun await(what: String, condition: () -> Boolean) {
+        try {
+            withTimeout(testLimit) { while (!condition()) delay(20) }
+        } catch (timeout: kotlinx.coroutines.TimeoutCancellationException) {
+            throw AssertionError("did not happen within $testLimit: $what", timeout)
+        }
+    }
+
+    /** Waits until [node] has a configuration and answers for the queue. */
+    suspend fun awaitReady(node: TestNode) = await("${node.name} is ready") { call(node, "GET", "/queue/").first == 200 }
+
+    suspend fun stop() {
+        nodes.forEach { it.kill() }
+        vertx.close().coAwait()
+    }
+
+    companion object {
+        private const val CONFIGURATION =
+            """{"version":1,"routes":[{"name":"queue","host":"localhost","path-prefix":"/queue/","service":"pool",
+            "max-attempts":3,"slack-factor":2.0,"target-latency-ms":500,"priority":0,"public":false}],
+            "services":[{"name":"pool","admission-control":true,"standby":false}],
+            "tenants":[{"name":"team","api-keys":["key-1"],"weight":10,"cap":{"cpu":0,"mem-mb":0,"gpu":0}}]}"""
+
+        /** A job of two steps, the second after the first. */
+        const val TWO_STEPS =
+            """{"spec":"text","steps":[{"count":2,"cpu":1000,"mem-mb":100,"estimate-ms":300},
+            {"count":1,"cpu":1000,"mem-mb":100,"estimate-ms":300,"depends-on":[0]}]}"""
+    }
+}
