--- a/capacity/src/main/kotlin/dogwoodgrade/capacity/PoolSizing.kt
+++ b/capacity/src/main/kotlin/dogwoodgrade/capacity/PoolSizing.kt
@@ -13,6 +13,8 @@
  * @property idleHeadroom factor on the demand of a calm pool
  * @property growthAt use of a pool's room above which a burst is assumed
  * @property growthFactor factor on the demand of a pool in a burst, which goes on rising while machines move
+ * @property earlyGrowthFactor the same while the pool has at most twice its smallest size: a burst has just begun
+ * @property waitingShare part of what waits that counts as demand; the rest follows when the first tasks have ended
  * @property surplusTime time a pool has more than it needs before it gives machines away; a move costs about what a
  * second of a machine costs
  * @property movesAtOnce most orders of one plan
@@ -22,7 +24,9 @@
     public val idleHeadroom: Double = 1.4,
     public val growthAt: Double = 0.6,
     public val growthFactor: Double = 1.3,
-    public val surplusTime: Duration = 2500.milliseconds,
+    public val earlyGrowthFactor: Double = 2.5,
+    public val waitingShare: Double = 0.6,
+    public val surplusTime: Duration = 1200.milliseconds,
     public val movesAtOnce: Int = 8,
 )
 
@@ -117,10 +121,15 @@
     policy: SizingPolicy,
 ): Int {
     val unit = (usable.ifEmpty { machines }).map { it.machine.capacity }.firstOrNull() ?: return policy.smallestPool
-    val total = demand.inUse + demand.waiting
-    val load = maxOf(share(total.processor, unit.processor), share(total.memory, unit.memory))
-    val bursting = load > usable.size * policy.growthAt
-    val factor = if (bursting) policy.growthFactor else policy.idleHeadroom
+    val inUse = maxOf(share(demand.inUse.processor, unit.processor), share(demand.inUse.memory, unit.memory))
+    val waiting = maxOf(share(demand.waiting.processor, unit.processor), share(demand.waiting.memory, unit.memory))
+    val load = inUse + waiting * policy.waitingShare
+    val factor =
+        when {
+            load <= usable.size * policy.growthAt -> policy.idleHeadroom
+            usable.size <= policy.smallestPool * 2 -> policy.earlyGrowthFactor
+            else -> policy.growthFactor
+        }
     return maxOf(policy.smallestPool, ceil(load * factor).toInt())
 }
 
