Test decisions, tables, records and the plan of machines

Change: tests of ownership, pool sizes, waves, single scheduling decisions, records of the platform and of the log, and the tables. One of them found that a pool below its smallest size could wait behind a large backlog; it is served first now.

--- a/capacity/src/main/kotlin/dogwoodgrade/capacity/PoolSizing.kt
+++ b/capacity/src/main/kotlin/dogwoodgrade/capacity/PoolSizing.kt
@@ -77,7 +77,7 @@
 /**
  * Decides which machines move between pools and standby.
  *
- * The pool that has the smallest part of what it needs is served first. It takes machines from standby, then from pools
+ * Pools below their smallest size are served first, then the one that has the smallest part of what it needs. It takes machines from standby, then from pools
  * that have more than they need. Surplus machines go to standby after a while.
  */
 public fun planPoolSizes(
@@ -99,7 +99,12 @@
             active
                 .map { it.pool }
                 .filter { size.getValue(it) < wanted.getValue(it) }
-                .sortedBy { size.getValue(it).toDouble() / wanted.getValue(it) }
+                .sortedWith(
+                    compareBy(
+                        { size.getValue(it) >= policy.smallestPool },
+                        { size.getValue(it).toDouble() / wanted.getValue(it) },
+                    ),
+                )
                 .firstNotNullOfOrNull { pool ->
                     chooseDonor(pool, free, standby, size, wanted, machines)?.let { MachineMove(it.machine, pool) to it }
                 } ?: break
--- /dev/null
+++ b/capacity/src/test/kotlin/dogwoodgrade/capacity/PoolSizingTest.kt
@@ -0,0 +1,69 @@
+package dogwoodgrade.capacity
+
+import dogwoodgrade.scheduling.Resources
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+class PoolSizingTest {
+    private val now = Instant.fromEpochMilliseconds(1_000_000)
+    private val policy = SizingPolicy()
+    private val unit = Resources(64_000, 128_000)
+
+    private fun machine(name: String, pool: String, movable: Boolean = true, zone: String = "a") =
+        SizedMachine(Machine(name, pool, MachineState.Up, zone, null, unit), usable = true, movable = movable)
+
+    private fun demand(pool: String, inUse: Long = 0, waiting: Long = 0, standby: Boolean = false) =
+        PoolDemand(pool, Resources(inUse, 0), Resources(waiting, 0), standby)
+
+    private val standbyMachines = List(9) { machine("s$it", "standby") }
+
+    private fun plan(
+        demands: List<PoolDemand>,
+        machines: List<SizedMachine>,
+        surplus: Map<String, Instant> = emptyMap(),
+    ) = planPoolSizes(demands + demand("standby", standby = true), machines + standbyMachines, surplus, policy, now)
+
+    @Test
+    fun `a pool in a burst takes machines from standby`() {
+        val machines = List(3) { machine("a$it", "a", movable = false) }
+        val plan = plan(listOf(demand("a", 190_000, 200_000)), machines)
+        assertTrue(plan.moves.size >= 3, plan.moves.toString())
+        assertTrue(plan.moves.all { it.pool == "a" && it.machine.pool == "standby" })
+    }
+
+    @Test
+    fun `the pool with the smallest part of its need is served first`() {
+        val machines = listOf(machine("a0", "a", movable = false), machine("a1", "a", movable = false), machine("a2", "a", movable = false))
+        val plan = plan(listOf(demand("a", 190_000, 9_000_000), demand("b")), machines)
+        assertEquals("b", plan.moves.first().pool)
+        assertEquals(3, plan.moves.count { it.pool == "b" })
+    }
+
+    @Test
+    fun `machines that work are not taken`() {
+        val busy = List(8) { machine("b$it", "b", movable = false) }
+        val plan = planPoolSizes(listOf(demand("a", 0, 900_000), demand("b")), busy, emptyMap(), policy, now)
+        assertTrue(plan.moves.isEmpty())
+    }
+
+    @Test
+    fun `surplus machines go to standby only after a while`() {
+        val machines = List(6) { machine("a$it", "a") }
+        val first = plan(listOf(demand("a")), machines)
+        assertTrue(first.moves.isEmpty())
+        assertEquals(now, first.surplusSince["a"])
+        val later = plan(listOf(demand("a")), machines, mapOf("a" to now - 5.seconds))
+        assertEquals(3, later.moves.size)
+        assertTrue(later.moves.all { it.pool == "standby" })
+    }
+
+    @Test
+    fun `demand is the larger of processor and memory`() {
+        val machines = List(3) { machine("a$it", "a", movable = false) }
+        val memory = PoolDemand("a", Resources(1_000, 380_000), Resources(0, 300_000), false)
+        assertTrue(plan(listOf(memory), machines).wanted.getValue("a") > 4)
+    }
+}
--- /dev/null
+++ b/node/src/test/kotlin/dogwoodgrade/node/TablesTest.kt
@@ -0,0 +1,202 @@
+package dogwoodgrade.node
+
+import dogwoodgrade.capacity.MaintenanceWave
+import dogwoodgrade.ownership.Lease
+import dogwoodgrade.ownership.OwnershipPolicy
+import dogwoodgrade.ownership.OwnershipRecord
+import dogwoodgrade.platform.KeyedRecord
+import dogwoodgrade.platform.OperatorConfiguration
+import dogwoodgrade.platform.OperatorRecord
+import dogwoodgrade.platform.QueueRoute
+import dogwoodgrade.scheduling.ExecutorIdentifier
+import dogwoodgrade.scheduling.ExecutorReport
+import dogwoodgrade.scheduling.Job
+import dogwoodgrade.scheduling.JobIdentifier
+import dogwoodgrade.scheduling.JobProgress
+import dogwoodgrade.scheduling.JobState
+import dogwoodgrade.scheduling.Repetition
+import dogwoodgrade.scheduling.Resources
+import dogwoodgrade.scheduling.SchedulingConfiguration
+import dogwoodgrade.scheduling.StartedRun
+import dogwoodgrade.scheduling.Step
+import dogwoodgrade.scheduling.TaskPosition
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+class TablesTest {
+    private val now = Instant.fromEpochMilliseconds(1_000_000)
+    private val identifier = JobIdentifier("a1")
+    private val step =
+        Step(
+            3,
+            Resources(500, 100, 1),
+            900.milliseconds,
+            listOf(0),
+            checkpoints = true,
+            gang = true,
+            requiredLabel = "a",
+            tasksPerExecutor = 2,
+            targetLatency = 50.milliseconds,
+            unavailabilityBudget = 1,
+        )
+    private val job =
+        Job(identifier, "queue", "pool", "team", "text", listOf(step), Repetition(2, now, 100.milliseconds), now)
+
+    private fun jobRecord(value: Job? = job) =
+        KeyedRecord(FleetRecords.jobKey(identifier), value?.let { FleetRecords.encode(it) }, 0)
+
+    @Test
+    fun `jobs are read back as they were written`() {
+        assertEquals(job, FleetRecords.decodeJob(identifier, FleetRecords.encode(job)))
+    }
+
+    @Test
+    fun `progress is read back as it was written`() {
+        val position = TaskPosition(1, 2, 3)
+        val progress =
+            JobProgress(
+                JobState.Active,
+                setOf(TaskPosition(0, 0, 0)),
+                mapOf(position to setOf(4L, 9L)),
+                mapOf(position to "00ff"),
+                mapOf(position to StartedRun(ExecutorIdentifier("i-1"), 12)),
+            )
+        assertEquals(progress, FleetRecords.decodeProgress(FleetRecords.encode(progress)))
+    }
+
+    @Test
+    fun `executors and owners are read back as they were written`() {
+        val report = ExecutorReport(ExecutorIdentifier("i"), 7, "pool", "h:1", "z", false, Resources(1, 2, 3), listOf("a"))
+        assertEquals(report, FleetRecords.decodeExecutor(report.identifier, FleetRecords.encode(report)))
+        val owner = OwnershipRecord(3, "entry", "life", true)
+        assertEquals(owner, FleetRecords.decodeOwner(FleetRecords.encode(owner)))
+    }
+
+    @Test
+    fun `malformed records are skipped`() {
+        listOf("", "{", """{"s":"Nothing"}""", """{"s":"Active","d":["x"]}""").forEach {
+            assertNull(FleetRecords.decodeProgress(it.encodeToByteArray()), it)
+        }
+    }
+
+    @Test
+    fun `a repeated job changes nothing`() {
+        val table = JobTable()
+        table.applyJob(jobRecord())
+        table.applyProgress(identifier, JobProgress(JobState.Active))
+        table.applyJob(jobRecord(job.copy(payload = "other")))
+        assertEquals("text", table[identifier]?.job?.payload)
+        assertEquals(JobState.Active, table[identifier]?.state)
+    }
+
+    @Test
+    fun `a cancellation shows unless the job has ended before`() {
+        val table = JobTable()
+        table.applyJob(jobRecord())
+        table.cancelled(identifier)
+        assertEquals(JobState.Cancelled, table[identifier]?.state)
+        table.applyProgress(identifier, JobProgress(JobState.Completed))
+        assertEquals(JobState.Completed, table[identifier]?.state)
+    }
+
+    @Test
+    fun `progress that is read before its job waits for it`() {
+        val table = JobTable()
+        table.applyProgress(identifier, JobProgress(JobState.Completed))
+        assertNull(table[identifier])
+        table.applyJob(jobRecord())
+        assertEquals(JobState.Completed, table[identifier]?.state)
+    }
+
+    @Test
+    fun `jobs that have not started are pending`() {
+        val table = JobTable()
+        table.applyJob(jobRecord())
+        assertEquals(1, table.pending("queue"))
+        table.applyProgress(identifier, JobProgress(JobState.Active))
+        assertEquals(0, table.pending("queue"))
+    }
+
+    private fun configuration(version: Long) =
+        OperatorRecord.Configuration(
+            OperatorConfiguration(
+                version,
+                listOf(QueueRoute("q-$version", "h", "/p/", false), QueueRoute("deep", "h", "/p/x/", false)),
+                emptyMap(),
+                SchedulingConfiguration(version),
+            ),
+        )
+
+    @Test
+    fun `a stale configuration never replaces a newer one`() {
+        val table = ConfigurationTable()
+        table.apply(listOf(configuration(7)), true, now)
+        table.apply(listOf(configuration(5)), true, now)
+        assertEquals(7, table.current()?.version)
+    }
+
+    @Test
+    fun `the longest prefix selects the queue`() {
+        val current = configuration(1).configuration
+        assertEquals("deep", selectRoute(current, "h", "/p/x/1")?.queue)
+        assertEquals("q-1", selectRoute(current, "h", "/p/1")?.queue)
+        assertNull(selectRoute(current, "other", "/p/1"))
+    }
+
+    @Test
+    fun `a snapshot withdraws the evacuations that it lacks`() {
+        val table = ConfigurationTable()
+        table.apply(listOf(OperatorRecord.Evacuation("z", true)), false, now)
+        assertEquals(setOf("z"), table.evacuatedZones())
+        table.apply(emptyList(), true, now)
+        assertTrue(table.evacuatedZones().isEmpty())
+    }
+
+    @Test
+    fun `a wave that is read again keeps the time at which it was first seen`() {
+        val table = ConfigurationTable()
+        val wave = OperatorRecord.Wave("1", MaintenanceWave(1, listOf("m"), 20.seconds, 1))
+        table.apply(listOf(wave), false, now)
+        table.apply(listOf(wave), true, now + 5.seconds)
+        assertEquals(now, table.waves().single().seenAt)
+    }
+
+    private fun followed(vararg records: KeyedRecord, next: Long) =
+        FollowedRecords(records.toList(), false, next, true, now)
+
+    @Test
+    fun `an older owner's record does not replace a newer one`() {
+        val table = OwnershipTable(OwnershipPolicy())
+
+        fun record(epoch: Long) =
+            KeyedRecord(FleetRecords.OWNER_KEY, FleetRecords.encode(OwnershipRecord(epoch, "e$epoch", "l", false)), epoch)
+        table.read(followed(record(3), next = 4), now)
+        table.read(followed(record(2), next = 5), now)
+        assertEquals(3, table.view()?.record?.epoch)
+    }
+
+    @Test
+    fun `a suspension takes the lease away until a write is confirmed`() {
+        val table = OwnershipTable(OwnershipPolicy())
+        table.own(Lease(1, now))
+        assertTrue(table.ordersUntil() > now)
+        table.suspended()
+        assertEquals(Instant.DISTANT_PAST, table.ordersUntil())
+        assertEquals(Instant.DISTANT_PAST, table.grantsUntil())
+        table.own(Lease(1, now + 1.seconds))
+        assertTrue(table.ordersUntil() > now)
+    }
+
+    @Test
+    fun `machines whose maintenance has begun are read back`() {
+        val table = MaintainedMachines()
+        table.apply(KeyedRecord(MaintainedMachines.key(2), MaintainedMachines.encode(setOf("m1", "m2")), 0))
+        assertEquals(setOf("m1", "m2"), table.of(2))
+        assertTrue(table.of(1).isEmpty())
+    }
+}
--- /dev/null
+++ b/ownership/src/test/kotlin/dogwoodgrade/ownership/OwnershipTest.kt
@@ -0,0 +1,69 @@
+package dogwoodgrade.ownership
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+class OwnershipTest {
+    private val policy = OwnershipPolicy()
+    private val now = Instant.fromEpochMilliseconds(1_000_000)
+    private val candidate = Candidate("entry-b", "life-2")
+
+    private fun owned(by: String, signAge: Long, readAge: Long = 0, resigned: Boolean = false) =
+        OwnershipView(
+            OwnershipRecord(4, by, "life-1", resigned),
+            now - signAge.milliseconds,
+            now - readAge.milliseconds,
+        )
+
+    @Test
+    fun `without an owner the first epoch is claimed`() {
+        val view = OwnershipView(null, now, now)
+        assertEquals(CandidateDecision.Claim(1, ClaimReason.NoOwner), decideClaim(view, candidate, policy, now))
+    }
+
+    @Test
+    fun `an owner that shows signs is followed`() {
+        assertIs<CandidateDecision.Follow>(decideClaim(owned("entry-a", 1000), candidate, policy, now))
+    }
+
+    @Test
+    fun `a silent owner is replaced with a higher epoch`() {
+        val decision = decideClaim(owned("entry-a", 2500), candidate, policy, now)
+        assertEquals(CandidateDecision.Claim(5, ClaimReason.OwnerSilent), decision)
+    }
+
+    @Test
+    fun `silence proves nothing while the log is not read`() {
+        assertIs<CandidateDecision.Follow>(decideClaim(owned("entry-a", 9000, readAge = 8000), candidate, policy, now))
+    }
+
+    @Test
+    fun `an owner that resigned is replaced at once`() {
+        val decision = decideClaim(owned("entry-a", 10, resigned = true), candidate, policy, now)
+        assertEquals(CandidateDecision.Claim(5, ClaimReason.OwnerResigned), decision)
+    }
+
+    @Test
+    fun `a restarted process replaces its earlier life at once`() {
+        val decision = decideClaim(owned("entry-b", 10), candidate, policy, now)
+        assertEquals(CandidateDecision.Claim(5, ClaimReason.OwnRestart), decision)
+    }
+
+    @Test
+    fun `an owner stops giving orders before another one may take over`() {
+        val lease = Lease(1, now)
+        assertTrue(lease.ordersUntil(policy) < now + policy.suspectAfter)
+        assertTrue(grantsSettledAt(now, policy) > lease.grantsUntil(policy))
+    }
+
+    @Test
+    fun `times that would let two owners order machines at once are refused`() {
+        assertFailsWith<IllegalArgumentException> { OwnershipPolicy(ordersFor = 3.seconds, suspectAfter = 2.seconds) }
+    }
+}
--- /dev/null
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SchedulerTest.kt
@@ -0,0 +1,250 @@
+package dogwoodgrade.scheduling
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/** Single decisions, each with the failure that it prevents. */
+class SchedulerTest {
+    private var now = Instant.fromEpochMilliseconds(1_000_000_000)
+    private var runs = 0L
+    private val forever = now + 1000.seconds
+
+    private fun report(name: String, pool: String = "pool", incarnation: Long = 1, cores: Long = 16) =
+        ExecutorReport(
+            ExecutorIdentifier(name),
+            incarnation,
+            pool,
+            "10.0.0.1:80",
+            "zone-a",
+            false,
+            Resources(cores * 1000, 64_000),
+            listOf("kind", "rack-1"),
+        )
+
+    private fun scheduler(vararg reports: ExecutorReport, cap: Long = 0, attempts: Int = 3): Scheduler {
+        val scheduler = Scheduler(SchedulingPolicy()) { ++runs }
+        val queue = QueueSettings("queue", "pool", 0, attempts, 2.0, 500.milliseconds, false)
+        scheduler.configure(
+            SchedulingConfiguration(
+                1,
+                mapOf("queue" to queue),
+                mapOf("pool" to PoolSettings("pool", executorsGuardCapacity = true, standby = false)),
+                mapOf("team" to TeamSettings("team", 10.0, Resources(cap, 0))),
+            ),
+        )
+        scheduler.executorsReported(reports.toList(), now)
+        reports.forEach { list(scheduler, it) }
+        makeDurable(scheduler)
+        return scheduler
+    }
+
+    private fun list(
+        scheduler: Scheduler,
+        report: ExecutorReport,
+        running: List<ListedRun> = emptyList(),
+        ended: List<ListedEnd> = emptyList(),
+        clock: Duration = 100.seconds,
+    ) {
+        val listing = ExecutorListing(report.incarnation, clock, running, ended)
+        scheduler.listed(report.identifier, listing, now, now)
+    }
+
+    private fun makeDurable(scheduler: Scheduler): List<Order.Start> =
+        scheduler.takeChanges(now)?.let { scheduler.durable(it, forever, now) }.orEmpty()
+
+    /** Plans and returns the starts that may be sent once their runs are durable. */
+    private fun starts(scheduler: Scheduler): List<Order.Start> {
+        scheduler.plan(now, now, forever, emptySet())
+        return makeDurable(scheduler)
+    }
+
+    private fun job(name: String, width: Int = 1, step: Step = Step(1, Resources(4_000, 1_000), 1.seconds)): Job =
+        Job(JobIdentifier(name), "queue", "pool", "team", "payload", listOf(step.copy(count = width)), null, now)
+
+    @Test
+    fun `a start is ordered only once its run is durable`() {
+        val scheduler = scheduler(report("x"))
+        scheduler.accept(job("a"), null, now, now)
+        assertTrue(scheduler.plan(now, now, forever, emptySet()).orders.isEmpty())
+        val batch = checkNotNull(scheduler.takeChanges(now))
+        val started = batch.progress.getValue(JobIdentifier("a")).started
+        assertEquals(setOf(TaskPosition(0, 0, 0)), started.keys)
+        assertEquals(1, scheduler.durable(batch, forever, now).size)
+    }
+
+    @Test
+    fun `a job that is cancelled before its run is durable starts nothing`() {
+        val scheduler = scheduler(report("x"))
+        scheduler.accept(job("a"), null, now, now)
+        scheduler.plan(now, now, forever, emptySet())
+        scheduler.cancel(JobIdentifier("a"), now)
+        assertTrue(makeDurable(scheduler).isEmpty())
+        assertEquals(JobState.Cancelled, scheduler.state(JobIdentifier("a")))
+    }
+
+    @Test
+    fun `failed runs of an earlier owner count in any order of listing`() {
+        val first = report("x")
+        val second = report("y")
+        val scheduler = scheduler(first, second)
+        val task = TaskName(JobIdentifier("a"), 0, 0, 0)
+        val failures = mapOf(TaskPosition(0, 0, 0) to setOf(5L))
+        scheduler.accept(job("a"), JobProgress(JobState.Active, failures = failures), now, now)
+        list(scheduler, first, ended = listOf(ListedEnd(1, task, 9, RunEnding.Failed, "")))
+        list(scheduler, second, ended = listOf(ListedEnd(1, task, 7, RunEnding.Failed, "")))
+        assertEquals(JobState.Failed, scheduler.state(task.job))
+    }
+
+    @Test
+    fun `a failed run that is listed again counts once`() {
+        val executor = report("x")
+        val scheduler = scheduler(executor)
+        val task = TaskName(JobIdentifier("a"), 0, 0, 0)
+        val failures = mapOf(TaskPosition(0, 0, 0) to setOf(5L, 7L))
+        scheduler.accept(job("a"), JobProgress(JobState.Active, failures = failures), now, now)
+        list(scheduler, executor, ended = listOf(ListedEnd(1, task, 7, RunEnding.Failed, "")))
+        assertEquals(JobState.Active, scheduler.state(task.job))
+    }
+
+    @Test
+    fun `a run of an earlier owner on a silent executor blocks its task until every grant has ended`() {
+        val scheduler = Scheduler(SchedulingPolicy()) { ++runs }
+        val silent = report("silent")
+        val other = report("x")
+        scheduler.begin(now + 6.seconds, listOf(silent, other))
+        val started = mapOf(TaskPosition(0, 0, 0) to StartedRun(silent.identifier, 3))
+        scheduler.accept(job("a"), JobProgress(JobState.Active, started = started), now, now)
+        scheduler.executorsReported(listOf(other), now)
+        list(scheduler, other)
+        scheduler.unreachable(silent.identifier)
+        makeDurable(scheduler)
+        assertTrue(starts(scheduler).isEmpty())
+        now += 7.seconds
+        assertEquals(1, starts(scheduler).size)
+    }
+
+    @Test
+    fun `a run of an earlier owner that its executor does not list starts again at once`() {
+        val scheduler = Scheduler(SchedulingPolicy()) { ++runs }
+        val executor = report("x")
+        scheduler.begin(now + 6.seconds, listOf(executor))
+        val started = mapOf(TaskPosition(0, 0, 0) to StartedRun(executor.identifier, 3))
+        scheduler.accept(job("a"), JobProgress(JobState.Active, started = started), now, now)
+        scheduler.executorsReported(listOf(executor), now)
+        list(scheduler, executor)
+        makeDurable(scheduler)
+        val order = starts(scheduler).single()
+        assertTrue(order.run > 3, "run numbers rise: ${order.run}")
+    }
+
+    @Test
+    fun `a start without answer is not repeated elsewhere before its deadline on the executor's clock`() {
+        val executor = report("x")
+        val scheduler = scheduler(executor, report("y"))
+        scheduler.accept(job("a"), null, now, now)
+        val order = starts(scheduler).single()
+        val used = if (order.executor == executor.identifier) executor else report("y")
+        scheduler.startAnswered(order, StartOutcome.Unknown, now)
+        list(scheduler, used, clock = order.deadline - 1.milliseconds)
+        assertTrue(starts(scheduler).isEmpty())
+        list(scheduler, used, clock = order.deadline + 1.milliseconds)
+        assertEquals(1, starts(scheduler).size)
+    }
+
+    @Test
+    fun `a team starts nothing beyond its cap`() {
+        val scheduler = scheduler(report("x"), cap = 9_000)
+        scheduler.accept(job("a", width = 4), null, now, now)
+        assertEquals(2, starts(scheduler).size)
+    }
+
+    @Test
+    fun `tasks of a step spread over executors as the step demands`() {
+        val scheduler = scheduler(report("x"), report("y"))
+        val spread = Step(1, Resources(1_000, 100), 1.seconds, tasksPerExecutor = 1)
+        scheduler.accept(job("a", width = 3, step = spread), null, now, now)
+        assertEquals(setOf("x", "y"), starts(scheduler).map { it.executor.text }.toSet())
+    }
+
+    @Test
+    fun `a long-running task that has waited preempts batch work`() {
+        val executor = report("x", cores = 8)
+        val scheduler = scheduler(executor)
+        scheduler.accept(job("batch", width = 2), null, now, now)
+        val batch = starts(scheduler)
+        assertEquals(2, batch.size)
+        batch.forEach { scheduler.startAnswered(it, StartOutcome.Started(100.seconds), now) }
+        val serving = Step(1, Resources(4_000, 1_000), longRunning = true)
+        scheduler.accept(job("serving", step = serving), null, now, now)
+        scheduler.plan(now, now, forever, emptySet())
+        now += 1.seconds
+        val orders = scheduler.plan(now, now, forever, emptySet()).orders + scheduler.plan(now, now, forever, emptySet()).orders
+        assertEquals(StopReason.Preempted, assertIs<Order.Stop>(orders.single()).reason)
+    }
+
+    @Test
+    fun `a gang starts as a whole or not at all, with one run number`() {
+        val scheduler = scheduler(report("x", cores = 8))
+        val gang = Step(1, Resources(4_000, 1_000), 1.seconds, gang = true)
+        scheduler.accept(job("too-wide", width = 3, step = gang), null, now, now)
+        assertTrue(starts(scheduler).isEmpty())
+        scheduler.accept(job("fits", width = 2, step = gang), null, now, now)
+        val orders = starts(scheduler)
+        assertEquals(2, orders.size)
+        assertEquals(1, orders.map { it.run }.toSet().size)
+    }
+
+    @Test
+    fun `evacuated zones get no starts`() {
+        val scheduler = scheduler(report("x"))
+        scheduler.accept(job("a"), null, now, now)
+        scheduler.plan(now, now, forever, setOf("zone-a"))
+        assertTrue(makeDurable(scheduler).isEmpty())
+    }
+
+    @Test
+    fun `an owner without a lease decides nothing`() {
+        val scheduler = scheduler(report("x"))
+        scheduler.accept(job("a"), null, now, now)
+        scheduler.plan(now, now, now, emptySet())
+        assertNull(scheduler.takeChanges(now))
+    }
+
+    @Test
+    fun `an executor that answers nobody gets no longer grant`() {
+        val executor = report("x")
+        val scheduler = scheduler(executor)
+        scheduler.unreachable(executor.identifier)
+        assertNull(checkNotNull(scheduler.grantRequest(executor.identifier, 5.seconds, forever, now)).deadline)
+    }
+
+    @Test
+    fun `an executor on which several jobs fail in a row is avoided`() {
+        val executor = report("x")
+        val scheduler = scheduler(executor, attempts = 9)
+        repeat(3) { scheduler.accept(job("a$it"), null, now, now) }
+        val orders = starts(scheduler)
+        orders.forEach { scheduler.startAnswered(it, StartOutcome.Started(100.seconds), now) }
+        val ends = orders.mapIndexed { index, order -> ListedEnd(index + 1L, order.task, order.run, RunEnding.Failed, "") }
+        list(scheduler, executor, ended = ends)
+        now += 1.seconds
+        assertTrue(starts(scheduler).isEmpty())
+        now += 3.seconds
+        assertEquals(3, starts(scheduler).size)
+    }
+
+    @Test
+    fun `configurations that are not newer are ignored`() {
+        val scheduler = scheduler(report("x"), cap = 4_000)
+        scheduler.configure(SchedulingConfiguration(1))
+        scheduler.accept(job("a", width = 2), null, now, now)
+        assertEquals(1, starts(scheduler).size)
+    }
+}
