--- a/entry/src/main/kotlin/dogwoodgrade/entry/EndpointClient.kt
+++ b/entry/src/main/kotlin/dogwoodgrade/entry/EndpointClient.kt
@@ -101,9 +101,19 @@
                 .setURI(call.request.target)
                 .setConnectTimeout(CONNECT_TIMEOUT_MILLISECONDS)
         attempt.isOnKeptConnection = keptFrom[address]?.let { now() >= it } == true
+        open(attempt, options, mayStart)
+    }
+
+    /** A kept connection that closes while the pool hands it out has sent nothing, so that a new one is tried. */
+    private fun open(attempt: Attempt, options: RequestOptions, mayStart: () -> Boolean) {
         val client = if (attempt.isOnKeptConnection) keptConnections else singleConnections
         client.request(options).onComplete { opened ->
             when {
+                opened.failed() && attempt.isOnKeptConnection -> {
+                    keptFrom[attempt.address] = now() + SingleAfterLoss
+                    attempt.isOnKeptConnection = false
+                    open(attempt, options, mayStart)
+                }
                 opened.failed() -> attempt.end(connectFailure(opened.cause()))
                 !mayStart() -> {
                     opened.result().reset()
