Grant executors 4 s instead of 5 s

Cause: after a zone cut, tasks on cut executors start elsewhere only when their grants have ended; a takeover takes about 2.3 s since owners are suspected after 1.8 s, so that grants of 4 s, extended every 0.9 s, outlast it.

--- a/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
@@ -41,7 +41,7 @@
 private val listPause: Duration = 150.milliseconds
 
 /** How long a grant lasts: longer than a takeover, short enough to start elsewhere soon after a loss. */
-private val grantLength: Duration = 5000.milliseconds
+private val grantLength: Duration = 4000.milliseconds
 
 /** Room for the runs of one epoch in the run numbers. */
 private const val RUNS_PER_EPOCH = 1_000_000L
