Look at idle executors only when something starts there

Without a lease, watchers of busy executors looked without any pause.

Change: a woken watcher first looks at the schedule; without a lease it pauses.

--- a/node/src/main/kotlin/dogwoodgrade/node/ExecutorWatcher.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/ExecutorWatcher.kt
@@ -96,20 +96,25 @@
         }
     }
 
-    private suspend fun awaitDurability() {
+    private suspend fun pauseAfter(request: GrantRequest) {
+        val next = look() ?: return
+        when {
+            next.awaitsDurability -> withTimeoutOrNull(durabilityWait) { awaitUntil { !it.awaitsDurability } }
+            !next.busy && request.durableEnd == next.durableEnd -> withTimeoutOrNull(idlePause) { awaitUntil { it.busy } }
+            // Without a lease there is no waiting request that would slow this loop down.
+            next.busy && request.deadline == null -> delay(failurePause)
+        }
+    }
+
+    /** Other executors' starts and ends wake this watcher too, and must not cost a look at this one. */
+    private suspend fun awaitUntil(condition: (GrantRequest) -> Boolean) {
         do {
             woken.receive()
-            val now = clock.now()
-            val request = fleet.withSchedule { it.grantRequest(identifier, Duration.ZERO, now, now) }
-        } while (request?.awaitsDurability == true)
+        } while (look()?.let(condition) == false)
     }
 
-    private suspend fun pauseAfter(request: GrantRequest) {
+    private fun look(): GrantRequest? {
         val now = clock.now()
-        val next = fleet.withSchedule { it.grantRequest(identifier, Duration.ZERO, now, now) } ?: return
-        when {
-            next.awaitsDurability -> withTimeoutOrNull(durabilityWait) { awaitDurability() }
-            !next.busy && request.durableEnd == next.durableEnd -> withTimeoutOrNull(idlePause) { woken.receive() }
-        }
+        return fleet.withSchedule { it.grantRequest(identifier, Duration.ZERO, now, now) }
     }
 }
