--- a/capacity/src/main/kotlin/dogwoodgrade/capacity/PoolSizing.kt
+++ b/capacity/src/main/kotlin/dogwoodgrade/capacity/PoolSizing.kt
@@ -21,9 +21,9 @@
  */
 public data class SizingPolicy(
     public val smallestPool: Int = 3,
-    public val idleHeadroom: Double = 1.4,
+    public val idleHeadroom: Double = 1.25,
     public val growthAt: Double = 0.6,
-    public val growthFactor: Double = 1.3,
+    public val growthFactor: Double = 1.15,
     public val earlyGrowthFactor: Double = 2.5,
     public val waitingShare: Double = 0.6,
     public val surplusTime: Duration = 1200.milliseconds,
