Log each start, acceptance and cancellation

A failed request has to be explained from its identifier with logs alone; lines name tasks as job, occurrence, step and index.

--- a/node/src/main/kotlin/dogwoodgrade/node/CallerHandler.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/CallerHandler.kt
@@ -103,7 +103,7 @@
         return when (intake.append(FleetRecords.jobKey(identifier), FleetRecords.encode(job), limitOf(request))) {
             IntakeOutcome.Durable -> {
                 jobs.accepted(job)
-                logger.debug { "caller: accepted job=$identifier queue=${route.queue} version=${current.version}" }
+                logger.info { "caller: accepted job=$identifier queue=${route.queue} version=${current.version}" }
                 CallerReply.Accepted
             }
             IntakeOutcome.NotDone -> refuse("the store does not take the job", request)
@@ -120,7 +120,7 @@
         return when (intake.append(FleetRecords.cancellationKey(identifier), CANCELLED, limitOf(request))) {
             IntakeOutcome.Durable -> {
                 jobs.cancelled(identifier)
-                logger.debug { "caller: cancelled job=$identifier" }
+                logger.info { "caller: cancelled job=$identifier" }
                 CallerReply.Accepted
             }
             IntakeOutcome.NotDone -> refuse("the store does not take the cancellation", request)
--- a/node/src/main/kotlin/dogwoodgrade/node/OrderWorkers.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OrderWorkers.kt
@@ -5,6 +5,7 @@
 import dogwoodgrade.scheduling.ExecutorReport
 import dogwoodgrade.scheduling.Order
 import dogwoodgrade.scheduling.StartOutcome
+import dogwoodgrade.scheduling.StartRejection
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
@@ -41,8 +42,8 @@
     /** Hands over orders; one that finds no room counts as not sent. */
     fun submit(executor: ExecutorReport, order: Order) {
         if (queue.trySend(executor to order).isSuccess) return
-        logger.warn { "orders: queue is full, dropped $order" }
-        if (order is Order.Start) record(order, StartOutcome.Rejected(dogwoodgrade.scheduling.StartRejection.NotSent))
+        logger.warn { "orders: queue is full, dropped task=${order.task.text}" }
+        if (order is Order.Start) record(order, StartOutcome.Rejected(StartRejection.NotSent))
     }
 
     private suspend fun send(executor: ExecutorReport, order: Order) {
@@ -52,7 +53,7 @@
                 val answered = client.stop(executor, order, epoch)
                 metrics.ordered("stop", if (answered) "done" else "failed")
                 logger.info {
-                    "orders: stop task=${order.task} run=${order.run} executor=${order.executor} " +
+                    "orders: stop task=${order.task.text} run=${order.run} executor=${order.executor} " +
                         "reason=${order.reason} answered=$answered"
                 }
                 onChange(order.executor)
@@ -60,7 +61,7 @@
             is Order.Pace -> {
                 val answered = client.pace(executor, order, epoch)
                 metrics.ordered("pace", if (answered) "done" else "failed")
-                logger.info { "orders: pace task=${order.task} percent=${order.percent} answered=$answered" }
+                logger.info { "orders: pace task=${order.task.text} percent=${order.percent} answered=$answered" }
             }
         }
     }
@@ -73,7 +74,7 @@
                 StartOutcome.Unknown -> "unknown"
             }
         metrics.ordered("start", text)
-        logger.debug { "orders: start task=${order.task} run=${order.run} executor=${order.executor} outcome=$text" }
+        logger.info { "orders: start task=${order.task.text} run=${order.run} executor=${order.executor} outcome=$text" }
         fleet.withSchedule { it.startAnswered(order, outcome, clock.now()) }
         onChange(order.executor)
     }
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Job.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Job.kt
@@ -21,7 +21,11 @@
     public val occurrence: Int,
     public val step: Int,
     public val index: Int,
-)
+) {
+    /** The name as log lines show it: job, occurrence, step and index. */
+    public val text: String
+        get() = "$job/$occurrence/$step/$index"
+}
 
 /**
  * A set of equal tasks of a job.
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ListingProcessor.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ListingProcessor.kt
@@ -149,7 +149,7 @@
         tables.activate(task, run)
         update(run, listed, now)
         tables.events +=
-            SchedulerEvent(task.name.job, executor.identifier, "adopted task=${task.name} run=${listed.run}")
+            SchedulerEvent(task.name.job, executor.identifier, "adopted task=${task.name.text} run=${listed.run}")
     }
 
     private fun update(active: ActiveRun, listed: ListedRun, now: Instant) {
@@ -177,7 +177,7 @@
             if (listed[name] == run.run) continue
             if (!isMissing(run, listing, requestedAt)) continue
             val task = tables.task(name) ?: continue
-            tables.events += SchedulerEvent(name.job, executor.identifier, "run missing task=$name run=${run.run}")
+            tables.events += SchedulerEvent(name.job, executor.identifier, "run missing task=${name.text} run=${run.run}")
             if (run.checkpoint.isNotEmpty()) task.checkpoint = run.checkpoint
             tables.release(task)
             tables.requeue(task, now, now)
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/StopPlanner.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/StopPlanner.kt
@@ -79,7 +79,7 @@
                 val task = tables.task(name) ?: continue
                 task.lastFailedOn = executor.identifier
                 listings.blame(executor, task, now)
-                val text = "run stalled task=$name percent=${run.percent} since=${run.percentSince}"
+                val text = "run stalled task=${name.text} percent=${run.percent} since=${run.percentSince}"
                 tables.events += SchedulerEvent(name.job, executor.identifier, text)
             }
         }
