--- a/operator/src/main/kotlin/dogwoodgrade/operator/OperatorContext.kt
+++ b/operator/src/main/kotlin/dogwoodgrade/operator/OperatorContext.kt
@@ -64,7 +64,9 @@
         CommandResult(ResultCode.Accepted, "confirmed by $entries of $entries entries", listOf(changes))
     } else {
         val table = Table("unconfirmed", listOf("entry"), missing.map(::listOf))
-        val message = "accepted, but confirmed by only ${entries - missing.size} of $entries entries"
+        val message =
+            "accepted, but confirmed by only ${entries - missing.size} of $entries entries; " +
+                "no answer from ${missing.joinToString()}, which may have ended"
         CommandResult(ResultCode.NotConfirmed, message, listOf(changes, table))
     }
 
