Archive the classes of a start and avoid zones whose executors are silent

Change: the build runs the program once and archives its classes; zones of which no executor answers give no machines.

--- /dev/null
+++ b/node/src/main/kotlin/dogwoodgrade/node/ClassArchive.kt
@@ -0,0 +1,62 @@
+package dogwoodgrade.node
+
+import dogwoodgrade.ownership.OwnershipRecord
+import dogwoodgrade.platform.KeyedRecord
+import dogwoodgrade.platform.SettingsOutcome
+import dogwoodgrade.platform.readNodeSettings
+import dogwoodgrade.platform.readOperatorRecord
+import dogwoodgrade.scheduling.Job
+import dogwoodgrade.scheduling.JobIdentifier
+import dogwoodgrade.scheduling.JobProgress
+import dogwoodgrade.scheduling.Resources
+import dogwoodgrade.scheduling.Scheduler
+import dogwoodgrade.scheduling.SchedulingPolicy
+import dogwoodgrade.scheduling.Step
+import io.vertx.core.Vertx
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import java.net.ServerSocket
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/** Time for the program to load the classes of its start. */
+private val archiveTime: Duration = 2.seconds
+
+/** Argument with which the build runs the program once to archive its classes; starts are faster with the archive. */
+internal const val ARCHIVE_ARGUMENT: String = "--archive-classes"
+
+/** Uses what a start uses, on loopback and without a platform, so that the JVM archives the classes at exit. */
+internal fun loadClassesForArchive() {
+    val callers = freePort()
+    val text =
+        """{"node-name":"archive","zone":"a","listen":{"frontend":"127.0.0.1:$callers",
+        "readiness":"127.0.0.1:${freePort()}"},"platform":{"address":"127.0.0.1:$callers"}}"""
+    val settings = (readNodeSettings(text) as SettingsOutcome.Valid).settings
+    val node = Node(settings, Vertx.vertx(), CoroutineScope(SupervisorJob() + Dispatchers.Default))
+    runBlocking {
+        node.start()
+        useRecords()
+        delay(archiveTime)
+    }
+}
+
+private fun useRecords() {
+    val configuration = """{"version":1,"routes":[],"services":[],"tenants":[]}"""
+    readOperatorRecord(KeyedRecord("config", configuration.encodeToByteArray(), 0))
+    val now = Instant.fromEpochMilliseconds(0)
+    val identifier = JobIdentifier("archive")
+    val job = Job(identifier, "queue", "pool", null, "", listOf(Step(1, Resources(1, 1))), null, now)
+    FleetRecords.decodeJob(identifier, FleetRecords.encode(job))
+    FleetRecords.decodeProgress(FleetRecords.encode(JobProgress()))
+    FleetRecords.decodeOwner(FleetRecords.encode(OwnershipRecord(1, "archive", "", false)))
+    val scheduler = Scheduler(SchedulingPolicy()) { 1 }
+    scheduler.accept(job, null, now, now)
+    scheduler.plan(now, now, now + archiveTime, emptySet())
+    scheduler.takeChanges(now)
+}
+
+private fun freePort(): Int = ServerSocket(0).use { it.localPort }
--- a/node/src/main/kotlin/dogwoodgrade/node/MachineLoop.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/MachineLoop.kt
@@ -146,7 +146,7 @@
         moved.values.removeIf { now - it > settings.moveTime + moveMargin }
         val demands = view.pools.values.map { PoolDemand(it.pool, it.inUse, it.waiting, it.standby) }
         val standby = demands.filter { it.standby }.map { it.pool }.toSet()
-        val sized = machines.values.map { sizedMachine(it, it.pool in standby, view, evacuated) }
+        val sized = machines.values.map { sizedMachine(it, it.pool in standby, view, evacuated + silentZones(view)) }
         val plan = planPoolSizes(demands, sized, surplusSince, sizing, now)
         surplusSince = plan.surplusSince
         for (move in plan.moves) {
@@ -154,9 +154,16 @@
         }
     }
 
-    private fun sizedMachine(machine: Machine, standby: Boolean, view: FleetView, evacuated: Set<String>): SizedMachine {
+    /** Zones of which no executor answers; machines there are of no use even if they can be moved. */
+    private fun silentZones(view: FleetView): Set<String> =
+        view.executors.values
+            .groupBy { it.zone }
+            .filterValues { executors -> executors.none { it.reachable } }
+            .keys
+
+    private fun sizedMachine(machine: Machine, standby: Boolean, view: FleetView, avoided: Set<String>): SizedMachine {
         val load = machine.executor?.let { view.executors[it] }
-        val available = machine.zone !in evacuated && machine.name !in emptying
+        val available = machine.zone !in avoided && machine.name !in emptying
         val coming = machine.state == MachineState.Moving || machine.name in moved
         // An executor that is not in the live list yet is on its way; one that was lost shows as a machine that is down.
         val usable = available && (coming || machine.state == MachineState.Up && load?.usable != false)
--- a/node/src/main/kotlin/dogwoodgrade/node/Main.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/Main.kt
@@ -28,6 +28,10 @@
 
 /** Starts the program with the settings file that the environment or the first argument names. */
 fun main(arguments: Array<String>) {
+    if (arguments.firstOrNull() == ARCHIVE_ARGUMENT) {
+        loadClassesForArchive()
+        exitProcess(0)
+    }
     val settings = loadSettings(arguments)
     val vertx = Vertx.vertx(VertxOptions().setEventLoopPoolSize(1))
     val failures =
