Split the scheduler's outputs, shorten functions, keep executors of uncertain moves unused

Change: SchedulerOutputs holds the result types, growing pools is a function of its own; executors of such machines stay without new work until the list shows another executor.

--- a/capacity/src/main/kotlin/dogwoodgrade/capacity/MaintenancePlan.kt
+++ b/capacity/src/main/kotlin/dogwoodgrade/capacity/MaintenancePlan.kt
@@ -87,10 +87,13 @@
         chosen.filter { name ->
             val machine = machines.getValue(name)
             val load = loads(machine)
-            machine.state == MachineState.Up && name !in progress.orders &&
+            machine.state == MachineState.Up &&
+                name !in progress.orders &&
                 (load == null || load.longRuns == 0 && (load.batchRuns == 0 || late))
         }
-    val repeats = progress.orders.values.filter { !it.confirmed && it.machine in open }.map { it.machine }
+    val repeats = progress.orders.values
+        .filter { !it.confirmed && it.machine in open }
+        .map { it.machine }
     return MaintenanceDecision(chosen.toSet(), (repeats + ready).distinct(), false)
 }
 
--- a/capacity/src/main/kotlin/dogwoodgrade/capacity/PoolSizing.kt
+++ b/capacity/src/main/kotlin/dogwoodgrade/capacity/PoolSizing.kt
@@ -77,8 +77,8 @@
 /**
  * Decides which machines move between pools and standby.
  *
- * Pools below their smallest size are served first, then the one that has the smallest part of what it needs. It takes machines from standby, then from pools
- * that have more than they need. Surplus machines go to standby after a while.
+ * Pools below their smallest size are served first, then the one that has the smallest part of what it needs. It takes
+ * machines from standby, then from pools that have more than they need. Surplus machines go to standby after a while.
  */
 public fun planPoolSizes(
     demands: List<PoolDemand>,
@@ -92,31 +92,41 @@
     val usable = machines.filter { it.usable }.groupBy { it.machine.pool }
     val wanted = active.associate { it.pool to machinesFor(it, usable[it.pool].orEmpty(), machines, policy) }
     val size = active.associateTo(mutableMapOf()) { it.pool to usable[it.pool].orEmpty().size }
-    val moves = mutableListOf<MachineMove>()
     val free = machines.filter { it.movable }.toMutableList()
+    val moves = grow(wanted, size, free, standby, machines, policy)
+    val surplus = size.filter { (pool, count) -> count > wanted.getValue(pool) }.keys
+    val since = surplus.associateWith { surplusSince[it] ?: now }
+    val returned = standby.firstOrNull()?.let { returns(since, free, size, wanted, it, policy, now) }.orEmpty()
+    return SizingPlan(moves + returned.take(policy.movesAtOnce - moves.size), since, wanted)
+}
+
+/** Gives machines to the pools in need, one after the other; [size] and [free] follow. */
+private fun grow(
+    wanted: Map<String, Int>,
+    size: MutableMap<String, Int>,
+    free: MutableList<SizedMachine>,
+    standby: Set<String>,
+    machines: List<SizedMachine>,
+    policy: SizingPolicy,
+): List<MachineMove> {
+    val moves = mutableListOf<MachineMove>()
+    val order =
+        compareBy<String>(
+            { size.getValue(it) >= policy.smallestPool },
+            { size.getValue(it).toDouble() / wanted.getValue(it) },
+        )
     while (moves.size < policy.movesAtOnce) {
-        val move =
-            active
-                .map { it.pool }
-                .filter { size.getValue(it) < wanted.getValue(it) }
-                .sortedWith(
-                    compareBy(
-                        { size.getValue(it) >= policy.smallestPool },
-                        { size.getValue(it).toDouble() / wanted.getValue(it) },
-                    ),
-                )
-                .firstNotNullOfOrNull { pool ->
-                    chooseDonor(pool, free, standby, size, wanted, machines)?.let { MachineMove(it.machine, pool) to it }
-                } ?: break
-        free -= move.second
-        size.computeIfPresent(move.first.machine.pool) { _, count -> count - 1 }
-        size.merge(move.first.pool, 1, Int::plus)
-        moves += move.first
+        val needy = wanted.keys.filter { size.getValue(it) < wanted.getValue(it) }.sortedWith(order)
+        val (pool, donor) =
+            needy.firstNotNullOfOrNull { pool ->
+                chooseDonor(pool, free, standby, size, wanted, machines)?.let { pool to it }
+            } ?: break
+        free -= donor
+        size.computeIfPresent(donor.machine.pool) { _, count -> count - 1 }
+        size.merge(pool, 1, Int::plus)
+        moves += MachineMove(donor.machine, pool)
     }
-    val surplus = size.filter { (pool, count) -> count > wanted.getValue(pool) }.keys.associateWith { surplusSince[it] ?: now }
-    val target = standby.firstOrNull()
-    if (target != null) moves += returns(surplus, free, size, wanted, target, policy, now).take(policy.movesAtOnce - moves.size)
-    return SizingPlan(moves, surplus, wanted)
+    return moves
 }
 
 private fun machinesFor(
@@ -154,7 +164,9 @@
         .filter { donor ->
             val from = donor.machine.pool
             from != pool && (from in standby || (size[from] ?: 0) > (wanted[from] ?: Int.MAX_VALUE))
-        }.minWithOrNull(compareBy({ it.machine.pool !in standby }, { zones[it.machine.zone] ?: 0 }, { it.machine.name }))
+        }.minWithOrNull(
+            compareBy({ it.machine.pool !in standby }, { zones[it.machine.zone] ?: 0 }, { it.machine.name }),
+        )
 }
 
 private fun returns(
--- a/capacity/src/test/kotlin/dogwoodgrade/capacity/MaintenancePlanTest.kt
+++ b/capacity/src/test/kotlin/dogwoodgrade/capacity/MaintenancePlanTest.kt
@@ -42,7 +42,11 @@
     @Test
     fun `an order without answer counts until it is confirmed`() {
         val machines = machines(9)
-        val open = progress(machines.keys, 1).copy(orders = mapOf("m0" to MaintenanceOrder("m0", now - 20.seconds, false)))
+        val open = progress(machines.keys, 1).copy(
+            orders = mapOf(
+                "m0" to MaintenanceOrder("m0", now - 20.seconds, false),
+            ),
+        )
         assertEquals(listOf("m0"), plan(open, machines).maintain)
     }
 
--- a/capacity/src/test/kotlin/dogwoodgrade/capacity/PoolSizingTest.kt
+++ b/capacity/src/test/kotlin/dogwoodgrade/capacity/PoolSizingTest.kt
@@ -36,7 +36,12 @@
 
     @Test
     fun `the pool with the smallest part of its need is served first`() {
-        val machines = listOf(machine("a0", "a", movable = false), machine("a1", "a", movable = false), machine("a2", "a", movable = false))
+        val machines =
+            listOf(
+                machine("a0", "a", movable = false),
+                machine("a1", "a", movable = false),
+                machine("a2", "a", movable = false),
+            )
         val plan = plan(listOf(demand("a", 190_000, 9_000_000), demand("b")), machines)
         assertEquals("b", plan.moves.first().pool)
         assertEquals(3, plan.moves.count { it.pool == "b" })
--- a/node/src/main/kotlin/dogwoodgrade/node/ExecutorWatcher.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/ExecutorWatcher.kt
@@ -100,7 +100,9 @@
         val next = look() ?: return
         when {
             next.awaitsDurability -> withTimeoutOrNull(durabilityWait) { awaitUntil { !it.awaitsDurability } }
-            !next.busy && request.durableEnd == next.durableEnd -> withTimeoutOrNull(idlePause) { awaitUntil { it.busy } }
+            !next.busy && request.durableEnd == next.durableEnd -> withTimeoutOrNull(
+                idlePause,
+            ) { awaitUntil { it.busy } }
             // Without a lease there is no waiting request that would slow this loop down.
             next.busy && request.deadline == null -> delay(failurePause)
         }
--- a/node/src/main/kotlin/dogwoodgrade/node/MachineLoop.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/MachineLoop.kt
@@ -17,6 +17,7 @@
 import dogwoodgrade.platform.NodeSettings
 import dogwoodgrade.platform.Topic
 import dogwoodgrade.platform.waveStatus
+import dogwoodgrade.scheduling.ExecutorIdentifier
 import dogwoodgrade.scheduling.FleetView
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.delay
@@ -54,6 +55,9 @@
     private var emptying = emptySet<String>()
     private val moved = mutableMapOf<String, Instant>()
     private val sizing = SizingPolicy()
+
+    /** Executors whose machines may still be moved by an order that got no answer. */
+    private val uncertain = mutableSetOf<ExecutorIdentifier>()
     private var surplusSince = emptyMap<String, Instant>()
     private var loadLoggedAt = Instant.DISTANT_PAST
 
@@ -65,7 +69,7 @@
             val view = fleet.withSchedule { it.fleet(clock.now(), clock.wall()) }
             logLoad(view)
             val machines = client.machines()?.associateBy { it.name } ?: continue
-            if (node.configuration.waves().any { reported[it.wave.number] != true }) maintain(client, machines, view)
+            maintain(client, machines, view)
             size(client, machines, view)
         }
     }
@@ -86,7 +90,11 @@
         for (known in node.configuration.waves()) {
             val wave = known.wave
             if (reported[wave.number] == true) continue
-            val current = progress.getOrPut(wave.number) { recorded(WaveProgress(wave, known.seenAt)) }.copy(wave = wave)
+            val current = progress
+                .getOrPut(
+                    wave.number,
+                ) { recorded(WaveProgress(wave, known.seenAt)) }
+                .copy(wave = wave)
             val loads = { machine: Machine -> loadOf(machine, view) }
             val now = clock.now()
             val decision = planMaintenance(current, emptying, machines, loads, settings.maintenanceTime, now)
@@ -116,6 +124,8 @@
     private fun retire(names: Set<String>, machines: Map<String, Machine>) {
         emptying = names
         val executors = names.mapNotNullTo(mutableSetOf()) { machines[it]?.executor }
+        uncertain.retainAll(machines.values.mapNotNull { it.executor }.toSet())
+        executors += uncertain
         fleet.withSchedule { it.retire(executors) }
     }
 
@@ -165,9 +175,10 @@
         val load = machine.executor?.let { view.executors[it] }
         val available = machine.zone !in avoided && machine.name !in emptying
         val coming = machine.state == MachineState.Moving || machine.name in moved
-        // An executor that is not in the live list yet is on its way; one that was lost shows as a machine that is down.
+        // An executor that is not in the live list yet is on its way; a lost one shows as a machine that is down.
         val usable = available && (coming || machine.state == MachineState.Up && load?.usable != false)
-        val idle = load == null && standby || load != null && load.batchRuns == 0 && load.longRuns == 0 && !load.draining
+        val idle =
+            load == null && standby || load != null && load.batchRuns == 0 && load.longRuns == 0 && !load.draining
         val movable = available && !coming && machine.state == MachineState.Up && idle
         return SizedMachine(machine, usable, movable)
     }
@@ -182,11 +193,13 @@
             "machines: move machine=${machine.name} from=${machine.pool} to=${move.pool} epoch=$epoch " +
                 "wanted=${wanted[move.pool]} outcome=$outcome"
         }
-        if (outcome is MachineOutcome.Done || outcome is MachineOutcome.Unknown) {
-            moved[machine.name] = clock.now()
-            if (executor != null && outcome is MachineOutcome.Done) {
-                fleet.withSchedule { it.executorGone(executor, clock.now()) }
+        when (outcome) {
+            MachineOutcome.Done -> {
+                moved[machine.name] = clock.now()
+                executor?.let { gone -> fleet.withSchedule { it.executorGone(gone, clock.now()) } }
             }
+            is MachineOutcome.Unknown -> executor?.let { uncertain += it }
+            else -> Unit
         }
     }
 
--- a/node/src/main/kotlin/dogwoodgrade/node/OrderWorkers.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OrderWorkers.kt
@@ -74,7 +74,9 @@
                 StartOutcome.Unknown -> "unknown"
             }
         metrics.ordered("start", text)
-        logger.info { "orders: start task=${order.task.text} run=${order.run} executor=${order.executor} outcome=$text" }
+        logger.info {
+            "orders: start task=${order.task.text} run=${order.run} executor=${order.executor} outcome=$text"
+        }
         fleet.withSchedule { it.startAnswered(order, outcome, clock.now()) }
         onChange(order.executor)
     }
--- a/node/src/main/kotlin/dogwoodgrade/node/OwnerWriter.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnerWriter.kt
@@ -91,7 +91,8 @@
         }
     }
 
-    private fun takeOthers(): List<Pair<String, ByteArray>> = generateSequence { others.tryReceive().getOrNull() }.toList()
+    private fun takeOthers(): List<Pair<String, ByteArray>> = generateSequence { others.tryReceive().getOrNull() }
+        .toList()
 
     private suspend fun append(
         batch: ProgressBatch?,
--- a/node/src/test/kotlin/dogwoodgrade/node/TablesTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/TablesTest.kt
@@ -71,7 +71,8 @@
 
     @Test
     fun `executors and owners are read back as they were written`() {
-        val report = ExecutorReport(ExecutorIdentifier("i"), 7, "pool", "h:1", "z", false, Resources(1, 2, 3), listOf("a"))
+        val report =
+            ExecutorReport(ExecutorIdentifier("i"), 7, "pool", "h:1", "z", false, Resources(1, 2, 3), listOf("a"))
         assertEquals(report, FleetRecords.decodeExecutor(report.identifier, FleetRecords.encode(report)))
         val owner = OwnershipRecord(3, "entry", "life", true)
         assertEquals(owner, FleetRecords.decodeOwner(FleetRecords.encode(owner)))
@@ -174,7 +175,11 @@
         val table = OwnershipTable(OwnershipPolicy())
 
         fun record(epoch: Long) =
-            KeyedRecord(FleetRecords.OWNER_KEY, FleetRecords.encode(OwnershipRecord(epoch, "e$epoch", "l", false)), epoch)
+            KeyedRecord(
+                FleetRecords.OWNER_KEY,
+                FleetRecords.encode(OwnershipRecord(epoch, "e$epoch", "l", false)),
+                epoch,
+            )
         table.read(followed(record(3), next = 4), now)
         table.read(followed(record(2), next = 5), now)
         assertEquals(3, table.view()?.record?.epoch)
--- a/node/src/test/kotlin/dogwoodgrade/node/TestPlatform.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/TestPlatform.kt
@@ -77,7 +77,13 @@
     private fun freePort(): Int = ServerSocket(0).use { it.localPort }
 
     /** Sends a request to [node] and returns status and body. */
-    fun call(node: TestNode, method: String, path: String, body: String? = null, key: String? = "key-1"): Pair<Int, String> {
+    fun call(
+        node: TestNode,
+        method: String,
+        path: String,
+        body: String? = null,
+        key: String? = "key-1",
+    ): Pair<Int, String> {
         val publisher = body?.let { HttpRequest.BodyPublishers.ofString(it) } ?: HttpRequest.BodyPublishers.noBody()
         val request =
             HttpRequest
@@ -99,7 +105,9 @@
     }
 
     /** Waits until [node] has a configuration and answers for the queue. */
-    suspend fun awaitReady(node: TestNode) = await("${node.name} is ready") { call(node, "GET", "/queue/").first == 200 }
+    suspend fun awaitReady(
+        node: TestNode,
+    ) = await("${node.name} is ready") { call(node, "GET", "/queue/").first == 200 }
 
     suspend fun stop() {
         nodes.forEach { it.kill() }
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetView.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetView.kt
@@ -45,7 +45,9 @@
 private const val LATE_DEMAND: Double = 0.25
 
 internal fun fleetView(tables: FleetTables, now: Instant, wall: Instant): FleetView {
-    val room = tables.configuration.teams.mapValuesTo(mutableMapOf()) { (name, team) -> remainingCap(tables, name, team.cap) }
+    val room = tables.configuration.teams.mapValuesTo(
+        mutableMapOf(),
+    ) { (name, team) -> remainingCap(tables, name, team.cap) }
     val pools =
         tables.configuration.pools.keys.associateWith { pool ->
             val executors = tables.executors.values.filter { it.report.pool == pool && it.usable(now) }
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobRows.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobRows.kt
@@ -9,7 +9,8 @@
 /**
  * How certain it is that a run is there.
  *
- * [Planned] runs are not ordered yet, [Inherited] ones were ordered by an earlier owner, [Starting] ones have no answer.
+ * [Planned] runs are not ordered yet, [Inherited] ones were ordered by an earlier owner, [Starting] ones have no
+ * answer.
  */
 internal enum class RunPhase { Planned, Inherited, Starting, Running, Stopping }
 
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ListingProcessor.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ListingProcessor.kt
@@ -177,7 +177,8 @@
             if (listed[name] == run.run) continue
             if (!isMissing(run, listing, requestedAt)) continue
             val task = tables.task(name) ?: continue
-            tables.events += SchedulerEvent(name.job, executor.identifier, "run missing task=${name.text} run=${run.run}")
+            tables.events +=
+                SchedulerEvent(name.job, executor.identifier, "run missing task=${name.text} run=${run.run}")
             if (run.checkpoint.isNotEmpty()) task.checkpoint = run.checkpoint
             tables.release(task)
             tables.requeue(task, now, now)
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Placement.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Placement.kt
@@ -57,7 +57,11 @@
 private fun fitOrder(row: StepRow, executor: ExecutorRow): Long =
     when {
         row.step.usesSpareCapacity -> executor.used.processor
-        row.step.longRunning -> -executor.runs.size.toLong().coerceAtMost(1) * executor.report.capacity.processor + executor.used.processor
+        row.step.longRunning ->
+            -executor.runs.size
+                .toLong()
+                .coerceAtMost(1) * executor.report.capacity.processor +
+                executor.used.processor
         else -> executor.free.processor
     }
 
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Ranking.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Ranking.kt
@@ -38,7 +38,13 @@
 }
 
 /** Returns the rank of a step that has waiting tasks. */
-internal fun rankOf(row: StepRow, queue: QueueSettings?, beyondEntitlement: Boolean, now: Instant, wall: Instant): Rank {
+internal fun rankOf(
+    row: StepRow,
+    queue: QueueSettings?,
+    beyondEntitlement: Boolean,
+    now: Instant,
+    wall: Instant,
+): Rank {
     val kind =
         when {
             row.step.usesSpareCapacity -> 2
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
@@ -3,50 +3,6 @@
 import kotlin.time.Duration
 import kotlin.time.Instant
 
-/**
- * What the scheduler wants done.
- *
- * @property advice questions to the advisory service
- * @property events conclusions for the log
- */
-public data class SchedulerPlan(
-    public val orders: List<Order>,
-    public val advice: List<AdviceRequest>,
-    public val events: List<SchedulerEvent>,
-)
-
-/**
- * Contents of a request that extends an executor's grant and asks what runs.
- *
- * @property deadline end of the grant on the executor's clock, or `null` to extend nothing
- * @property durableEnd number up to which the executor may forget ends
- */
-public data class GrantRequest(
-    public val report: ExecutorReport,
-    public val deadline: Duration?,
-    public val durableEnd: Long,
-    public val awaitsDurability: Boolean,
-    public val busy: Boolean,
-)
-
-/**
- * What has to become durable.
- *
- * @property ends ends that may be acknowledged afterwards
- * @property executors executors on which runs may start afterwards
- * @property goneExecutors executors on which nothing can run any more
- * @property starts starts that may be ordered afterwards
- */
-public data class ProgressBatch(
-    public val progress: Map<JobIdentifier, JobProgress>,
-    public val forgotten: List<JobIdentifier>,
-    public val ends: Map<ExecutorIdentifier, Long>,
-    public val incarnations: Map<ExecutorIdentifier, Long>,
-    public val executors: List<ExecutorReport>,
-    public val goneExecutors: List<ExecutorIdentifier>,
-    public val starts: List<PlannedStart>,
-)
-
 /**
  * Schedules the jobs of all pools while this process owns them.
  *
@@ -114,7 +70,10 @@
                     "budget=${step.unavailabilityBudget}".takeIf { step.unavailabilityBudget > 0 },
                     "speculative".takeIf { step.speculative },
                 )
-            "${step.count}x${step.request.processor}m/$kind${options.joinToString("+", "+").takeIf { options.isNotEmpty() }.orEmpty()}"
+            "${step.count}x${step.request.processor}m/$kind${options.joinToString(
+                "+",
+                "+",
+            ).takeIf { options.isNotEmpty() }.orEmpty()}"
         }
 
     /** Cancels a job; a job that is not known is ignored. */
@@ -136,10 +95,10 @@
             row.vanished = false
         }
         for (row in tables.executors.values) row.vanished = row.identifier !in present
-        dropVanished(now)
+        dropVanished()
     }
 
-    private fun dropVanished(now: Instant) {
+    private fun dropVanished() {
         tables.executors.values
             .filter { it.vanished && !it.reachable && it.runs.isEmpty() }
             .forEach { tables.dropExecutor(it.identifier) }
@@ -265,7 +224,7 @@
             tables.events += SchedulerEvent(null, row.identifier, "grants expired runs=${row.runs.size}")
             listings.loseRuns(row, now)
         }
-        dropVanished(now)
+        dropVanished()
     }
 
     /** Returns what has to become durable, or `null` if nothing has changed. */
@@ -273,25 +232,26 @@
         val forgotten = transitions.forget(now)
         beyondEntitlement -= forgotten.toSet()
         val ends = tables.executors.values.filter { it.processedEnd > it.durableEnd }
-        val unrecorded = tables.executors.values.filter { !it.recorded }.map { it.report }
+        val unrecorded = tables.executors.values
+            .filter { !it.recorded }
+            .map { it.report }
         val gone = tables.goneExecutors.filter { it !in tables.executors }
-        if (tables.changed.isEmpty() && forgotten.isEmpty() && ends.isEmpty() && unrecorded.isEmpty() && gone.isEmpty()) {
-            return null
-        }
         val progress = tables.changed.mapNotNull { id -> tables.jobs[id]?.let { id to it.progress() } }.toMap()
         tables.changed.clear()
         tables.goneExecutors.clear()
         val starts = tables.plannedStarts.toList()
         tables.plannedStarts.clear()
-        return ProgressBatch(
-            progress,
-            forgotten,
-            ends.associate { it.identifier to it.processedEnd },
-            ends.associate { it.identifier to it.report.incarnation },
-            unrecorded,
-            gone,
-            starts,
-        )
+        val batch =
+            ProgressBatch(
+                progress,
+                forgotten,
+                ends.associate { it.identifier to it.processedEnd },
+                ends.associate { it.identifier to it.report.incarnation },
+                unrecorded,
+                gone,
+                starts,
+            )
+        return batch.takeIf { !it.isEmpty }
     }
 
     /**
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/StartPlanner.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/StartPlanner.kt
@@ -91,7 +91,14 @@
     private fun start(task: TaskRow, executor: ExecutorRow, run: Long, inputs: PlanInputs) {
         val number = maxOf(run, task.lastRun + 1)
         val active =
-            ActiveRun(executor.identifier, number, inputs.now, Duration.ZERO, RunPhase.Planned, checkpoint = task.checkpoint)
+            ActiveRun(
+                executor.identifier,
+                number,
+                inputs.now,
+                Duration.ZERO,
+                RunPhase.Planned,
+                checkpoint = task.checkpoint,
+            )
         tables.activate(task, active)
         tables.plannedStarts += PlannedStart(task.name, executor.identifier, number)
     }
@@ -104,7 +111,8 @@
         val executor = tables.executors[planned.executor]
         val clock = executor?.estimatedClock(now)
         val travel = minOf(policy.startDeadline, ownedUntil - now)
-        if (executor == null || clock == null || travel <= Duration.ZERO || planned.task in tables.stopsWanted) {
+        val unwanted = travel <= Duration.ZERO || planned.task in tables.stopsWanted
+        if (executor == null || clock == null || unwanted) {
             tables.release(task)
             tables.requeue(task, now, now)
             return null
@@ -114,7 +122,15 @@
         run.startDeadline = deadline
         run.phase = RunPhase.Starting
         val ticket = row.tickets[executor.identifier]?.text
-        return Order.Start(executor.identifier, task.name, run.run, row.job.job.payload, deadline, run.checkpoint, ticket)
+        return Order.Start(
+            executor.identifier,
+            task.name,
+            run.run,
+            row.job.job.payload,
+            deadline,
+            run.checkpoint,
+            ticket,
+        )
     }
 
     /** Makes room for a long-running task that has waited, on the executor where the least batch work is lost. */
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/StopPlanner.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/StopPlanner.kt
@@ -18,7 +18,7 @@
     private val policy: SchedulingPolicy,
 ) {
     fun plan(now: Instant): List<Order> {
-        leaveExecutors(now)
+        leaveExecutors()
         moveStalled(now)
         val orders = mutableListOf<Order>()
         for ((name, reason) in tables.stopsWanted.toList()) {
@@ -40,7 +40,7 @@
     }
 
     /** Long-running tasks do not end by themselves before an executor leaves, so they are moved. */
-    private fun leaveExecutors(now: Instant) {
+    private fun leaveExecutors() {
         for (executor in tables.executors.values) {
             if (!executor.report.draining && !executor.retiring) continue
             for ((name, run) in executor.runs) {
--- a/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SchedulerTest.kt
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SchedulerTest.kt
@@ -185,7 +185,8 @@
         scheduler.accept(job("serving", step = serving), null, now, now)
         scheduler.plan(now, now, forever, emptySet())
         now += 1.seconds
-        val orders = scheduler.plan(now, now, forever, emptySet()).orders + scheduler.plan(now, now, forever, emptySet()).orders
+        val orders =
+            scheduler.plan(now, now, forever, emptySet()).orders + scheduler.plan(now, now, forever, emptySet()).orders
         assertEquals(StopReason.Preempted, assertIs<Order.Stop>(orders.single()).reason)
     }
 
@@ -232,7 +233,12 @@
         repeat(3) { scheduler.accept(job("a$it"), null, now, now) }
         val orders = starts(scheduler)
         orders.forEach { scheduler.startAnswered(it, StartOutcome.Started(100.seconds), now) }
-        val ends = orders.mapIndexed { index, order -> ListedEnd(index + 1L, order.task, order.run, RunEnding.Failed, "") }
+        val ends = orders.mapIndexed {
+            index,
+            order,
+            ->
+            ListedEnd(index + 1L, order.task, order.run, RunEnding.Failed, "")
+        }
         list(scheduler, executor, ended = ends)
         now += 1.seconds
         assertTrue(starts(scheduler).isEmpty())
--- a/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SimulatedDayTest.kt
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SimulatedDayTest.kt
@@ -12,14 +12,20 @@
         val fleet = SimulatedFleet(seed, executorCount = 6, faults)
         val random = Random(seed * 31)
         repeat(30) { number ->
-            fleet.submit(chainJob("job-$seed-$number", fleet.now, *IntArray(random.nextInt(1, 4)) { random.nextInt(1, 7) }))
+            fleet.submit(
+                chainJob("job-$seed-$number", fleet.now, *IntArray(random.nextInt(1, 4)) { random.nextInt(1, 7) }),
+            )
             fleet.run(random.nextInt(200, 1500).let { it / 1000.0 }.seconds)
         }
         val cancelled = JobIdentifier("job-$seed-29")
         fleet.cancel(cancelled)
         fleet.run(60.seconds)
         assertEquals(emptyList(), fleet.violations, "seed $seed")
-        val open = fleet.states().filterValues { it != JobState.Completed && it != JobState.Cancelled && it != JobState.Failed }
+        val open = fleet.states().filterValues {
+            it != JobState.Completed &&
+                it != JobState.Cancelled &&
+                it != JobState.Failed
+        }
         assertTrue(open.isEmpty(), "seed $seed: jobs did not end: $open")
         assertTrue(fleet.runningTasks().isEmpty(), "seed $seed: still running: ${fleet.runningTasks()}")
     }
--- a/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SimulatedFleet.kt
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SimulatedFleet.kt
@@ -177,7 +177,9 @@
         val step = job.steps[order.task.step]
         val outcome = executor.start(order, step, now, random.nextDouble() < faults.failures)
         if (outcome is StartOutcome.Started) {
-            val missing = step.dependencies.flatMap { number -> List(job.steps[number].count) { order.task.copy(step = number, index = it) } }
+            val missing = step.dependencies.flatMap { number ->
+                List(job.steps[number].count) { order.task.copy(step = number, index = it) }
+            }
             if ((failedRuns[order.task]?.size ?: 0) >= 4) violations += "$now ${order.task} started after its attempts"
             if (!completedTasks.containsAll(missing)) violations += "$now ${order.task} started before its dependencies"
         }
