Refuse a submission that cannot be appended soon after 0.4 s

Change: an item that is not under way after 0.4 s is withdrawn and refused as not run, with a time to come back; one that is under way waits for its outcome. A test holds the store silent and guards both answers.

--- a/node/src/main/kotlin/dogwoodgrade/node/JobIntake.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/JobIntake.kt
@@ -12,7 +12,6 @@
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Instant
 
 private val logger = KotlinLogging.logger {}
 
@@ -40,7 +39,6 @@
 private class IntakeItem(
     val key: String,
     val value: ByteArray?,
-    val enqueuedAt: Instant,
 ) {
     val outcome = CompletableDeferred<IntakeOutcome>()
     private val phase = AtomicReference(IntakePhase.Waiting)
@@ -69,10 +67,16 @@
 
     /** Appends a record and waits at most [limit] for the outcome. */
     suspend fun append(key: String, value: ByteArray?, limit: Duration): IntakeOutcome {
-        val item = IntakeItem(key, value, clock.now())
+        val item = IntakeItem(key, value)
         if (!queue.trySend(item).isSuccess) return IntakeOutcome.NotDone
-        val outcome = withTimeoutOrNull(limit) { item.outcome.await() }
-        return outcome ?: if (item.withdraw()) IntakeOutcome.NotDone else IntakeOutcome.Unknown
+        val queueing = minOf(limit, longestQueueing)
+        val early = withTimeoutOrNull(queueing) { item.outcome.await() }
+        return when {
+            early != null -> early
+            // The item is not under way, so that a refusal is true.
+            item.withdraw() -> IntakeOutcome.NotDone
+            else -> withTimeoutOrNull(limit - queueing) { item.outcome.await() } ?: IntakeOutcome.Unknown
+        }
     }
 
     /** Appends until the coroutine is cancelled. */
@@ -80,18 +84,11 @@
         while (true) {
             val batch = mutableListOf(queue.receive())
             while (batch.size < RECORDS_PER_APPEND) batch += queue.tryReceive().getOrNull() ?: break
-            val current = batch.filter { isCurrent(it) }
+            val current = batch.filter { it.send() }
             if (current.isNotEmpty()) appendBatch(current)
         }
     }
 
-    private fun isCurrent(item: IntakeItem): Boolean {
-        if (clock.now() - item.enqueuedAt <= longestQueueing) return item.send()
-        item.withdraw()
-        item.outcome.complete(IntakeOutcome.NotDone)
-        return false
-    }
-
     private suspend fun appendBatch(batch: List<IntakeItem>) {
         val records = batch.map { it.key to it.value }
         val identity = Producer(producer, 1, sequence + 1)
--- a/node/src/test/kotlin/dogwoodgrade/node/NodePathTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/NodePathTest.kt
@@ -3,9 +3,12 @@
 import dogwoodgrade.platform.standin.StoreFaults
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
+import java.util.concurrent.CompletableFuture
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
 
 /** The whole path over loopback, against the stand-in platform: callers, log, owner, executors. */
 class NodePathTest {
@@ -82,6 +85,28 @@
             assertTrue(executors.all { it.starts.isEmpty() })
         }
 
+    @Test
+    fun `a submission that waits behind an append of unknown outcome is refused soon and never runs`() =
+        onPlatform(nodes = 1) {
+            store.faults = StoreFaults(silent = true)
+            val first = CompletableFuture.supplyAsync {
+                call(
+                    nodes[0],
+                    "POST",
+                    "/queue/a1",
+                    TestPlatform.TWO_STEPS,
+                ).first
+            }
+            delay(300)
+            val started = TimeSource.Monotonic.markNow()
+            assertEquals(503, call(nodes[0], "POST", "/queue/a2", TestPlatform.TWO_STEPS).first)
+            assertTrue(started.elapsedNow() < 1500.milliseconds, "refused after ${started.elapsedNow()}")
+            assertEquals(504, first.get())
+            store.faults = StoreFaults()
+            await("a1 completed") { state(nodes[0], "a1") == """{"state":"completed"}""" }
+            assertEquals(410, call(nodes[0], "GET", "/queue/a2").first)
+        }
+
     @Test
     fun `a cancelled job starts nothing more`() =
         onPlatform(nodes = 2) {
