--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ListingProcessor.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ListingProcessor.kt
@@ -49,6 +49,8 @@
         for ((name, run) in executor.runs.toList()) {
             val task = tables.task(name) ?: continue
             if (run.checkpoint.isNotEmpty()) task.checkpoint = run.checkpoint
+            val text = "run lost task=${name.text} run=${run.run}"
+            tables.events += SchedulerEvent(name.job, executor.identifier, text)
             tables.release(task)
             tables.requeue(task, now, now)
         }
@@ -64,6 +66,7 @@
         val ofActive = active != null && active.executor == executor.identifier && active.run == end.run
         if (end.checkpoint.isNotEmpty()) task.checkpoint = end.checkpoint
         task.lastRun = maxOf(task.lastRun, end.run)
+        if (end.ending != RunEnding.Done) logEnd(executor, end, task)
         if (ofActive) tables.release(task)
         val longRunning = tables.stepOf(task.name)?.step?.longRunning == true
         when {
@@ -78,6 +81,11 @@
         }
     }
 
+    private fun logEnd(executor: ExecutorRow, end: ListedEnd, task: TaskRow) {
+        val text = "run ended ending=${end.ending} task=${end.task.text} run=${end.run} failed_before=${task.failedRuns.size}"
+        tables.events += SchedulerEvent(end.task.job, executor.identifier, text)
+    }
+
     /** One completed member stands for its whole gang. */
     private fun completeGang(task: TaskRow, now: Instant) {
         transitions.completeTask(task, now)
