--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ListingProcessor.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ListingProcessor.kt
@@ -82,7 +82,8 @@
     }
 
     private fun logEnd(executor: ExecutorRow, end: ListedEnd, task: TaskRow) {
-        val text = "run ended ending=${end.ending} task=${end.task.text} run=${end.run} failed_before=${task.failedRuns.size}"
+        val failures = "failed_before=${task.failedRuns.size}"
+        val text = "run ended ending=${end.ending} task=${end.task.text} run=${end.run} $failures"
         tables.events += SchedulerEvent(end.task.job, executor.identifier, text)
     }
 
