--- a/node/src/main/kotlin/dogwoodgrade/node/JobTable.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/JobTable.kt
@@ -60,6 +60,7 @@
     @Synchronized
     fun applyProgress(record: KeyedRecord) {
         val identifier = FleetRecords.progressJobOf(record.key) ?: return
+        if (record.value == null && jobs[identifier]?.job == null) jobs -= identifier
         val progress = record.value?.let { FleetRecords.decodeProgress(it) } ?: return
         applyProgress(identifier, progress)
     }
@@ -83,12 +84,6 @@
         jobs[identifier] = (jobs[identifier] ?: KnownJob()).copy(cancelled = true)
     }
 
-    /** Removes jobs that nobody asks for any more. */
-    @Synchronized
-    fun forget(identifiers: Collection<JobIdentifier>) {
-        jobs.keys -= identifiers.toSet()
-    }
-
     /** Records how far the jobs' topic was read, and that there was no more of it at [sentAt]. */
     @Synchronized
     fun read(nextOffset: Long, reachedEnd: Boolean, sentAt: Instant) {
--- a/node/src/main/kotlin/dogwoodgrade/node/Node.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/Node.kt
@@ -18,6 +18,7 @@
 import dogwoodgrade.platform.Topic
 import dogwoodgrade.platform.readOperatorRecord
 import dogwoodgrade.scheduling.JobIdentifier
+import dogwoodgrade.scheduling.SchedulingPolicy
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.vertx.core.Vertx
 import kotlinx.coroutines.CoroutineScope
@@ -66,6 +67,8 @@
     val contact: StoreContact,
     val clock: NodeClock,
     val metrics: NodeMetrics,
+    val intake: JobIntake,
+    val scheduling: SchedulingPolicy,
 ) {
     /** Receives the jobs of new records while this process owns the fleet. */
     @Volatile
@@ -77,15 +80,19 @@
     private val settings: NodeSettings,
     vertx: Vertx,
     private val scope: CoroutineScope,
+    scheduling: SchedulingPolicy = SchedulingPolicy(),
 ) {
     private val clock = NodeClock()
     private val policy = OwnershipPolicy(grantsFor = settings.longestGrant)
     private val incarnation = clock.wall().toEpochMilliseconds().toString(36)
     private val candidate = Candidate(settings.entry, incarnation)
+    private val store = StoreClient(vertx, settings.store)
+    private val contact = StoreContact(storeLostAfter)
+    private val intake = JobIntake(store, "entry-${settings.entry}-$incarnation", clock, contact)
     private val parts =
         NodeParts(
             vertx,
-            StoreClient(vertx, settings.store),
+            store,
             settings.machines?.let { MachinesClient(vertx, it, settings.entry) },
             settings.advice?.let { AdviceClient(vertx, it) },
             ConfigurationTable(),
@@ -93,11 +100,12 @@
             OwnershipTable(policy),
             MaintainedMachines(),
             KnownExecutors(),
-            StoreContact(storeLostAfter),
+            contact,
             clock,
             NodeMetrics(),
+            intake,
+            scheduling,
         )
-    private val intake = JobIntake(parts.store, "entry-${settings.entry}-$incarnation", clock, parts.contact)
     private val handler = CallerHandler(parts.configuration, parts.jobs, intake, clock, parts.metrics, ::endOfJobs)
     private val server = CallerServer(vertx, scope, handler::handle, ::ready, parts.metrics::text)
 
--- a/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
@@ -16,7 +16,6 @@
 import dogwoodgrade.scheduling.JobState
 import dogwoodgrade.scheduling.Order
 import dogwoodgrade.scheduling.Scheduler
-import dogwoodgrade.scheduling.SchedulingPolicy
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
@@ -43,6 +42,9 @@
 /** How long a grant lasts: longer than a takeover, short enough to start elsewhere soon after a loss. */
 private val grantLength: Duration = 4000.milliseconds
 
+/** Time for dropping one record; a job that is not dropped is dropped by a later owner. */
+private val dropLimit: Duration = 3000.milliseconds
+
 /** Room for the runs of one epoch in the run numbers. */
 private const val RUNS_PER_EPOCH = 1_000_000L
 
@@ -62,14 +64,25 @@
     private val clock = node.clock
     private var runs = record.epoch * RUNS_PER_EPOCH
     private val fleet =
-        FleetTable(Scheduler(SchedulingPolicy(restorationTime = settings.restorationTime)) { ++runs })
+        FleetTable(Scheduler(node.scheduling.copy(restorationTime = settings.restorationTime)) { ++runs })
+    private val forgotten = Channel<List<JobIdentifier>>(Channel.UNLIMITED)
     private val dirty = Channel<Unit>(Channel.CONFLATED)
     private val watchers = ConcurrentHashMap<ExecutorIdentifier, ExecutorWatcher>()
     private val executors = ExecutorClient(node.vertx)
     private val writer =
-        OwnerWriter(node.store, fleet, node.jobs, node.ownership, record, policy, clock, node.contact, claimSequence) {
-            onDurable(it)
-        }
+        OwnerWriter(
+            node.store,
+            fleet,
+            node.jobs,
+            node.ownership,
+            record,
+            policy,
+            clock,
+            node.contact,
+            claimSequence,
+            { forgotten.trySend(it) },
+            { onDurable(it) },
+        )
     private val workers =
         OrderWorkers(executors, fleet, record.epoch, clock, node.metrics) { changed(it) }
     private val reports = mutableMapOf<ExecutorIdentifier, ExecutorReport>()
@@ -97,9 +110,23 @@
                 TopicFollower(node.store, Topic.Executors, clock, { listPause }, node.contact) { listRead(it, this) }
             launch { list.run() }
             launch { machines.run() }
+            launch { dropForgotten() }
             plan(this)
         }
 
+    /** Drops jobs from the log. A job without its progress would run again, so that its own record goes first. */
+    private suspend fun dropForgotten() {
+        for (jobs in forgotten) {
+            for (job in jobs) {
+                val dropped = node.intake.append(FleetRecords.jobKey(job), null, dropLimit) == IntakeOutcome.Durable
+                logger.info { "owner: forgot job=$job dropped=$dropped" }
+                if (!dropped) continue
+                node.intake.append(FleetRecords.cancellationKey(job), null, dropLimit)
+                writer.record(FleetRecords.progressKey(job), null)
+            }
+        }
+    }
+
     /** Reads until the job table has what was appended before the takeover. */
     private suspend fun catchUp() {
         while (true) {
--- a/node/src/main/kotlin/dogwoodgrade/node/OwnerWriter.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnerWriter.kt
@@ -7,6 +7,7 @@
 import dogwoodgrade.platform.Producer
 import dogwoodgrade.platform.StoreClient
 import dogwoodgrade.platform.Topic
+import dogwoodgrade.scheduling.JobIdentifier
 import dogwoodgrade.scheduling.Order
 import dogwoodgrade.scheduling.ProgressBatch
 import io.github.oshai.kotlinlogging.KotlinLogging
@@ -47,10 +48,11 @@
     private val clock: NodeClock,
     private val contact: StoreContact,
     claimSequence: Long,
+    private val onForgotten: (List<JobIdentifier>) -> Unit,
     private val onDurable: (List<Order.Start>) -> Unit,
 ) {
     private val changed = Channel<Unit>(Channel.CONFLATED)
-    private val others = Channel<Pair<String, ByteArray>>(Channel.UNLIMITED)
+    private val others = Channel<Pair<String, ByteArray?>>(Channel.UNLIMITED)
     private var sequence = claimSequence
     private var renewedAt = clock.now()
 
@@ -63,7 +65,7 @@
     }
 
     /** Appends another record of the owner with the next append. */
-    fun record(key: String, value: ByteArray) {
+    fun record(key: String, value: ByteArray?) {
         others.trySend(key to value)
         notifyChanged()
     }
@@ -91,12 +93,12 @@
         }
     }
 
-    private fun takeOthers(): List<Pair<String, ByteArray>> = generateSequence { others.tryReceive().getOrNull() }
+    private fun takeOthers(): List<Pair<String, ByteArray?>> = generateSequence { others.tryReceive().getOrNull() }
         .toList()
 
     private suspend fun append(
         batch: ProgressBatch?,
-        others: List<Pair<String, ByteArray>>,
+        others: List<Pair<String, ByteArray?>>,
         renew: Boolean,
         last: Boolean,
     ): Boolean {
@@ -107,7 +109,6 @@
         }
         batch?.executors?.forEach { records += FleetRecords.executorKey(it.identifier) to FleetRecords.encode(it) }
         batch?.goneExecutors?.forEach { records += FleetRecords.executorKey(it) to null }
-        batch?.forgotten?.forEach { records += FleetRecords.progressKey(it) to null }
         if (renew ||
             records.isEmpty()
         ) {
@@ -118,7 +119,7 @@
         ownership.own(Lease(record.epoch, sentAt))
         if (batch != null) {
             batch.progress.forEach { (job, progress) -> jobs.applyProgress(job, progress) }
-            jobs.forget(batch.forgotten)
+            if (batch.forgotten.isNotEmpty()) onForgotten(batch.forgotten)
         }
         val starts = if (batch == null) emptyList() else startsAfter(batch)
         onDurable(starts)
--- a/node/src/test/kotlin/dogwoodgrade/node/NodePathTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/NodePathTest.kt
@@ -1,6 +1,7 @@
 package dogwoodgrade.node
 
 import dogwoodgrade.platform.standin.StoreFaults
+import dogwoodgrade.scheduling.SchedulingPolicy
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import java.util.concurrent.CompletableFuture
@@ -107,6 +108,20 @@
             assertEquals(410, call(nodes[0], "GET", "/queue/a2").first)
         }
 
+    @Test
+    fun `a job that was forgotten does not run again under the next owner`() =
+        onPlatform(nodes = 0) {
+            val brief = SchedulingPolicy(knownJobsRetention = 300.milliseconds)
+            repeat(2) { awaitReady(startNode("entry-$it", brief)) }
+            assertEquals(200, call(nodes[1], "POST", "/queue/a1", TestPlatform.TWO_STEPS).first)
+            await("completed") { state(nodes[1], "a1") == """{"state":"completed"}""" }
+            await("forgotten") { call(nodes[1], "GET", "/queue/a1").first == 410 }
+            nodes.removeAt(0).kill()
+            assertEquals(200, call(nodes[0], "POST", "/queue/a2", TestPlatform.TWO_STEPS).first)
+            await("a2 completed") { state(nodes[0], "a2") == """{"state":"completed"}""" }
+            assertEquals(6, executors.sumOf { it.starts.size })
+        }
+
     @Test
     fun `a cancelled job starts nothing more`() =
         onPlatform(nodes = 2) {
--- a/node/src/test/kotlin/dogwoodgrade/node/TestPlatform.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/TestPlatform.kt
@@ -4,6 +4,7 @@
 import dogwoodgrade.platform.readNodeSettings
 import dogwoodgrade.platform.standin.StandInExecutor
 import dogwoodgrade.platform.standin.StandInStore
+import dogwoodgrade.scheduling.SchedulingPolicy
 import io.vertx.core.Vertx
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.CoroutineScope
@@ -57,7 +58,7 @@
         }
     }
 
-    suspend fun startNode(name: String): TestNode {
+    suspend fun startNode(name: String, scheduling: SchedulingPolicy = SchedulingPolicy()): TestNode {
         val port = freePort()
         val settings =
             readNodeSettings(
@@ -69,7 +70,7 @@
             )
         val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
         val own = Vertx.vertx()
-        val node = Node((settings as SettingsOutcome.Valid).settings, own, scope)
+        val node = Node((settings as SettingsOutcome.Valid).settings, own, scope, scheduling)
         node.start()
         return TestNode(name, port, own, scope, node).also { nodes += it }
     }
