Follow the progress of others also during a term

An owner that was cut off from the store read its successor's progress before it learned that its term had ended, and progress read during a term was not applied. When it took over again, it ran completed tasks.

Change: progress is always applied, by offset, so that the owner's own newer state is not replaced by what it reads back. The stand-in's store has a second port with faults of its own; the test of this case fails without the change.

Conclusion: the faulty path needs an owner that is cut off, replaced, back, and owner again.

--- a/node/src/main/kotlin/dogwoodgrade/node/JobTable.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/JobTable.kt
@@ -11,11 +11,13 @@
  * What the log says about one job.
  *
  * @property job the accepted job, or `null` while only a cancellation or progress of it was read
+ * @property progressOffset offset of [progress] in its topic
  */
 internal data class KnownJob(
     val job: Job? = null,
     val cancelled: Boolean = false,
     val progress: JobProgress? = null,
+    val progressOffset: Long = -1,
 ) {
     /** The state that callers are told. */
     val state: JobState
@@ -62,13 +64,18 @@
         val identifier = FleetRecords.progressJobOf(record.key) ?: return
         if (record.value == null && jobs[identifier]?.job == null) jobs -= identifier
         val progress = record.value?.let { FleetRecords.decodeProgress(it) } ?: return
-        applyProgress(identifier, progress)
+        applyProgress(identifier, progress, record.offset)
     }
 
-    /** Applies progress that is durable. */
+    /**
+     * Applies progress that is durable at [offset]. The owner applies its own appends before it reads them back, so that
+     * older progress is ignored.
+     */
     @Synchronized
-    fun applyProgress(identifier: JobIdentifier, progress: JobProgress) {
-        jobs[identifier] = (jobs[identifier] ?: KnownJob()).copy(progress = progress)
+    fun applyProgress(identifier: JobIdentifier, progress: JobProgress, offset: Long) {
+        val known = jobs[identifier] ?: KnownJob()
+        if (known.progress != null && offset <= known.progressOffset) return
+        jobs[identifier] = known.copy(progress = progress, progressOffset = offset)
     }
 
     /** Adds a job that this process has made durable itself. */
--- a/node/src/main/kotlin/dogwoodgrade/node/Node.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/Node.kt
@@ -154,7 +154,7 @@
     }
 
     private fun progressRead(followed: FollowedRecords) {
-        if (session == null) followed.records.forEach { parts.jobs.applyProgress(it) }
+        followed.records.forEach { parts.jobs.applyProgress(it) }
         followed.records.forEach { parts.maintained.apply(it) }
         followed.records.forEach { parts.executors.apply(it) }
         parts.ownership.read(followed, clock.now())
--- a/node/src/main/kotlin/dogwoodgrade/node/OwnerWriter.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnerWriter.kt
@@ -114,11 +114,11 @@
         ) {
             records += FleetRecords.OWNER_KEY to FleetRecords.encode(record.copy(resigned = last))
         }
-        val sentAt = appendUntilKnown(records) ?: return false
-        if (renew) renewedAt = sentAt
-        ownership.own(Lease(record.epoch, sentAt))
+        val appended = appendUntilKnown(records) ?: return false
+        if (renew) renewedAt = appended.sentAt
+        ownership.own(Lease(record.epoch, appended.sentAt))
         if (batch != null) {
-            batch.progress.forEach { (job, progress) -> jobs.applyProgress(job, progress) }
+            batch.progress.forEach { (job, progress) -> jobs.applyProgress(job, progress, appended.lastOffset) }
             if (batch.forgotten.isNotEmpty()) onForgotten(batch.forgotten)
         }
         val starts = if (batch == null) emptyList() else startsAfter(batch)
@@ -129,8 +129,8 @@
     private fun startsAfter(batch: ProgressBatch): List<Order.Start> =
         fleet.withSchedule { it.durable(batch, ownership.ordersUntil(), clock.now()) }
 
-    /** Returns when the append was first sent, or `null` if another owner has taken over. */
-    private suspend fun appendUntilKnown(records: List<Pair<String, ByteArray?>>): Instant? {
+    /** Returns the confirmed append, or `null` if another owner has taken over. */
+    private suspend fun appendUntilKnown(records: List<Pair<String, ByteArray?>>): ConfirmedAppend? {
         val producer = Producer(OWNER_PRODUCER, record.epoch, sequence + 1)
         var uncertainSince: Instant? = null
         var loggedAt = Instant.DISTANT_PAST
@@ -145,7 +145,7 @@
             when (outcome) {
                 is AppendOutcome.Appended -> {
                     sequence++
-                    return uncertainSince ?: sentAt
+                    return ConfirmedAppend(uncertainSince ?: sentAt, outcome.endOffset - 1)
                 }
                 AppendOutcome.Fenced -> return null
                 is AppendOutcome.Unknown -> {
@@ -162,3 +162,14 @@
         }
     }
 }
+
+/**
+ * An append that is confirmed.
+ *
+ * @property sentAt when it was first sent
+ * @property lastOffset offset of its last record
+ */
+private data class ConfirmedAppend(
+    val sentAt: Instant,
+    val lastOffset: Long,
+)
--- a/node/src/test/kotlin/dogwoodgrade/node/NodePathTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/NodePathTest.kt
@@ -122,6 +122,22 @@
             assertEquals(6, executors.sumOf { it.starts.size })
         }
 
+    @Test
+    fun `an owner that was cut off knows what its successor did when it takes over again`() =
+        onPlatform(nodes = 0) {
+            awaitReady(startNode("entry-0"))
+            awaitReady(startNode("entry-1", storePort = store.otherPort))
+            store.faults = StoreFaults(refuse = true)
+            await("entry-1 accepts") { call(nodes[1], "POST", "/queue/a1", TestPlatform.TWO_STEPS).first == 200 }
+            await("completed") { state(nodes[1], "a1") == """{"state":"completed"}""" }
+            store.faults = StoreFaults()
+            await("shown by entry-0") { state(nodes[0], "a1") == """{"state":"completed"}""" }
+            store.otherFaults = StoreFaults(refuse = true)
+            assertEquals(200, call(nodes[0], "POST", "/queue/a2", TestPlatform.TWO_STEPS).first)
+            await("a2 completed") { state(nodes[0], "a2") == """{"state":"completed"}""" }
+            assertEquals(6, executors.sumOf { it.starts.size })
+        }
+
     @Test
     fun `a cancelled job starts nothing more`() =
         onPlatform(nodes = 2) {
--- a/node/src/test/kotlin/dogwoodgrade/node/TablesTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/TablesTest.kt
@@ -89,7 +89,7 @@
     fun `a repeated job changes nothing`() {
         val table = JobTable()
         table.applyJob(jobRecord())
-        table.applyProgress(identifier, JobProgress(JobState.Active))
+        table.applyProgress(identifier, JobProgress(JobState.Active), 1)
         table.applyJob(jobRecord(job.copy(payload = "other")))
         assertEquals("text", table[identifier]?.job?.payload)
         assertEquals(JobState.Active, table[identifier]?.state)
@@ -101,25 +101,34 @@
         table.applyJob(jobRecord())
         table.cancelled(identifier)
         assertEquals(JobState.Cancelled, table[identifier]?.state)
-        table.applyProgress(identifier, JobProgress(JobState.Completed))
+        table.applyProgress(identifier, JobProgress(JobState.Completed), 2)
         assertEquals(JobState.Completed, table[identifier]?.state)
     }
 
     @Test
     fun `progress that is read before its job waits for it`() {
         val table = JobTable()
-        table.applyProgress(identifier, JobProgress(JobState.Completed))
+        table.applyProgress(identifier, JobProgress(JobState.Completed), 2)
         assertNull(table[identifier])
         table.applyJob(jobRecord())
         assertEquals(JobState.Completed, table[identifier]?.state)
     }
 
+    @Test
+    fun `older progress that is read back does not replace newer progress`() {
+        val table = JobTable()
+        table.applyJob(jobRecord())
+        table.applyProgress(identifier, JobProgress(JobState.Completed), 9)
+        table.applyProgress(identifier, JobProgress(JobState.Active), 5)
+        assertEquals(JobState.Completed, table[identifier]?.state)
+    }
+
     @Test
     fun `jobs that have not started are pending`() {
         val table = JobTable()
         table.applyJob(jobRecord())
         assertEquals(1, table.pending("queue"))
-        table.applyProgress(identifier, JobProgress(JobState.Active))
+        table.applyProgress(identifier, JobProgress(JobState.Active), 1)
         assertEquals(0, table.pending("queue"))
     }
 
--- a/node/src/test/kotlin/dogwoodgrade/node/TestPlatform.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/TestPlatform.kt
@@ -58,14 +58,18 @@
         }
     }
 
-    suspend fun startNode(name: String, scheduling: SchedulingPolicy = SchedulingPolicy()): TestNode {
+    suspend fun startNode(
+        name: String,
+        scheduling: SchedulingPolicy = SchedulingPolicy(),
+        storePort: Int = store.port,
+    ): TestNode {
         val port = freePort()
         val settings =
             readNodeSettings(
                 """
                 {"node-name":"$name","zone":"zone-a","bootstrap":true,
                  "listen":{"frontend":"127.0.0.1:$port","readiness":"127.0.0.1:${freePort()}"},
-                 "bounds":{"max-hold-ms":6000,"grace-s":4},"platform":{"address":"127.0.0.1:${store.port}"}}
+                 "bounds":{"max-hold-ms":6000,"grace-s":4},"platform":{"address":"127.0.0.1:$storePort"}}
                 """.trimIndent(),
             )
         val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
