--- a/node/src/test/kotlin/dogwoodgrade/node/NodePathTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/NodePathTest.kt
@@ -123,11 +123,12 @@
         }
 
     @Test
-    fun `an owner that was cut off knows what its successor did when it takes over again`() =
+    fun `an owner that cannot append knows what its successor did when it takes over again`() =
         onPlatform(nodes = 0) {
             awaitReady(startNode("entry-0"))
             awaitReady(startNode("entry-1", storePort = store.otherPort))
-            store.faults = StoreFaults(refuse = true)
+            // It still reads, so that it sees its successor's progress before it learns that its term has ended.
+            store.faults = StoreFaults(refuseAppends = true)
             await("entry-1 accepts") { call(nodes[1], "POST", "/queue/a1", TestPlatform.TWO_STEPS).first == 200 }
             await("completed") { state(nodes[1], "a1") == """{"state":"completed"}""" }
             store.faults = StoreFaults()
