--- a/node/src/main/kotlin/dogwoodgrade/node/JobTable.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/JobTable.kt
@@ -68,8 +68,8 @@
     }
 
     /**
-     * Applies progress that is durable at [offset]. The owner applies its own appends before it reads them back, so that
-     * older progress is ignored.
+     * Applies progress that is durable at [offset]. The owner applies its own appends before it reads them back, so
+     * that older progress is ignored.
      */
     @Synchronized
     fun applyProgress(identifier: JobIdentifier, progress: JobProgress, offset: Long) {
