Read what is new in the log when a job is not known

Change: the lookup adds to the table what its own read returns, and no longer depends on the follower.

Conclusion: the refusal was true, but the answer was not what a caller expects.

--- a/node/src/main/kotlin/dogwoodgrade/node/CallerHandler.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/CallerHandler.kt
@@ -9,7 +9,6 @@
 import dogwoodgrade.scheduling.Job
 import dogwoodgrade.scheduling.JobIdentifier
 import io.github.oshai.kotlinlogging.KotlinLogging
-import kotlinx.coroutines.delay
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -25,13 +24,10 @@
 /** When a refused caller may come back. */
 private val retryAfter: Duration = 1.seconds
 
-/** Pause between two looks at a job table that is behind. */
-private val catchUpPause: Duration = 20.milliseconds
-
 /**
  * Answers callers from the tables, and makes durable what they submit.
  *
- * @param endOfJobs asks the log where the jobs' topic ends; `null` if it gives no answer
+ * @param readNewJobs adds to the table what the log has beyond it; `false` if the log gives no whole answer
  */
 internal class CallerHandler(
     private val configuration: ConfigurationTable,
@@ -39,7 +35,7 @@
     private val intake: JobIntake,
     private val clock: NodeClock,
     private val metrics: NodeMetrics,
-    private val endOfJobs: suspend () -> Long?,
+    private val readNewJobs: suspend () -> Boolean,
 ) {
     /** Returns the reply to [request]. */
     suspend fun handle(request: CallerRequest): CallerReply {
@@ -66,7 +62,7 @@
         val identifier = JobIdentifier(name)
         return when (request.verb) {
             CallerVerb.Submit -> submit(request, current, route, team.takeIf { !route.openToAll }, identifier)
-            CallerVerb.Query -> find(identifier, request)?.let { CallerReply.State(it.state) } ?: unknown(identifier)
+            CallerVerb.Query -> query(identifier)
             CallerVerb.Cancel -> cancel(request, identifier)
         }
     }
@@ -114,8 +110,14 @@
         }
     }
 
+    private suspend fun query(identifier: JobIdentifier): CallerReply {
+        val found = lookUp(identifier)
+        return found.job?.let { CallerReply.State(it.state) } ?: unknown(identifier, found.complete)
+    }
+
     private suspend fun cancel(request: CallerRequest, identifier: JobIdentifier): CallerReply {
-        val known = find(identifier, request) ?: return unknown(identifier)
+        val found = lookUp(identifier)
+        val known = found.job ?: return unknown(identifier, found.complete)
         if (known.cancelled) return CallerReply.Accepted
         return when (intake.append(FleetRecords.cancellationKey(identifier), CANCELLED, limitOf(request))) {
             IntakeOutcome.Durable -> {
@@ -128,27 +130,29 @@
         }
     }
 
-    /** Returns the job; one that is not in the table is looked for in what the log has beyond the table. */
-    private suspend fun find(identifier: JobIdentifier, request: CallerRequest): KnownJob? {
-        jobs[identifier]?.let { return it }
-        val end = endOfJobs() ?: return null
-        val until = clock.now() + limitOf(request) / 2
-        while (jobs.readTo() < end && clock.now() < until) delay(catchUpPause)
-        return jobs[identifier]
+    /** Looks a job up; one that is not in the table is looked for in what the log has beyond the table. */
+    private suspend fun lookUp(identifier: JobIdentifier): Lookup {
+        jobs[identifier]?.let { return Lookup(it, complete = true) }
+        val complete = readNewJobs()
+        return Lookup(jobs[identifier], complete)
     }
 
     /** A job that is not in the table does not exist if the table has all of the log. */
-    private suspend fun unknown(identifier: JobIdentifier): CallerReply {
-        val end = endOfJobs()
-        val readTo = jobs.readTo()
-        logger.info { "caller: unknown job=$identifier read_to=$readTo end=$end" }
-        return if (end != null && readTo >= end && jobs[identifier] == null) {
-            CallerReply.NoSuchJob
-        } else {
-            CallerReply.NotRun(retryAfter)
-        }
+    private fun unknown(identifier: JobIdentifier, complete: Boolean): CallerReply {
+        logger.info { "caller: unknown job=$identifier read_to=${jobs.readTo()} complete=$complete" }
+        return if (complete) CallerReply.NoSuchJob else CallerReply.NotRun(retryAfter)
     }
 
+    /**
+     * Result of looking a job up.
+     *
+     * @property complete the table had all of the log
+     */
+    private data class Lookup(
+        val job: KnownJob?,
+        val complete: Boolean,
+    )
+
     private companion object {
         val CANCELLED = "{}".encodeToByteArray()
     }
--- a/node/src/main/kotlin/dogwoodgrade/node/Node.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/Node.kt
@@ -106,7 +106,7 @@
             intake,
             scheduling,
         )
-    private val handler = CallerHandler(parts.configuration, parts.jobs, intake, clock, parts.metrics, ::endOfJobs)
+    private val handler = CallerHandler(parts.configuration, parts.jobs, intake, clock, parts.metrics, ::readNewJobs)
     private val server = CallerServer(vertx, scope, handler::handle, ::ready, parts.metrics::text)
 
     @Volatile
@@ -160,8 +160,12 @@
         parts.ownership.read(followed, clock.now())
     }
 
-    private suspend fun endOfJobs(): Long? =
-        (parts.store.read(Topic.Jobs, parts.jobs.readTo(), Duration.ZERO) as? ReadOutcome.Records)?.endOffset
+    private suspend fun readNewJobs(): Boolean {
+        val outcome = parts.store.read(Topic.Jobs, parts.jobs.readTo(), Duration.ZERO)
+        if (outcome !is ReadOutcome.Records) return false
+        outcome.records.forEach { parts.jobs.applyJob(it) }
+        return outcome.nextOffset >= outcome.endOffset
+    }
 
     private suspend fun ownInTurn() {
         while (!stopping) {
