Let urgent work that has waited borrow one slot of the reserve

Cause: KNOWN-RED case of FleetSharesTest. An owner held at most its part of the reserve (one of two slots) while the other stayed free, and an entry sees only the normal slots that its own tasks free, about two a second. Ruled out: the tolerance above the mean level; dropping it alone changed nothing here.

Change: after 400 ms of waiting an owner within 5% of its share borrows one slot beyond its part. The test runs in the normal suite again.

--- a/shares/src/main/kotlin/dogwoodgrade/shares/FairQueue.kt
+++ b/shares/src/main/kotlin/dogwoodgrade/shares/FairQueue.kt
@@ -6,6 +6,7 @@
 import dogwoodgrade.model.ResultCode
 import kotlin.math.ceil
 import kotlin.math.max
+import kotlin.math.min
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
@@ -16,6 +17,12 @@
  */
 private const val RESERVE_TOLERANCE = 0.1
 
+/**
+ * The same for a slot beyond the owner's part of the reserve. With [RESERVE_TOLERANCE], an owner with urgent work only
+ * held 55.6% of the slots instead of 50%.
+ */
+private const val BORROWING_TOLERANCE = 0.05
+
 /** Wait after which urgent work goes before other owners' work; leaves 1.2 s of the bound of 1.6 s to find a slot. */
 private val UrgentPatience = 400.milliseconds
 
@@ -216,15 +223,21 @@
     }
 
     /**
-     * An owner holds at most its part of the reserve by its share of all configured owners, and at least one slot. An
+     * An owner holds at most its part of the reserve by its share of all configured owners, and at least one slot. Work
+     * that has waited for too long borrows one slot more: an entry sees few of the normal slots that become free. An
      * owner above its share fleet-wide takes none, so that urgent work adds nothing to its share in the long run.
      */
     private fun mayUseReserve(standing: OwnerStanding, free: FreeSlots, now: Instant): Boolean {
         val accounts = meter.accounts(pool)
         val reserve = free.urgent - max(0, free.normal) + accounts.values.sumOf { it.ownReserve + it.peers.reserve }
         val shares = balance.shares.ifEmpty { accounts.mapValues { balance.share(it.key) } }
-        val bound = max(1.0, ceil(reserve * balance.share(standing.owner) / shares.values.sum()))
+        val part = max(1.0, ceil(reserve * balance.share(standing.owner) / shares.values.sum()))
         val held = accounts[standing.owner]?.let { it.ownReserve + it.peers.reserve } ?: 0
-        return held < bound && balance.fleetDistance(standing.owner, now) <= RESERVE_TOLERANCE
+        val distance = balance.fleetDistance(standing.owner, now)
+        return when {
+            held < part -> distance <= RESERVE_TOLERANCE
+            now - standing.headArrival < UrgentPatience -> false
+            else -> held < min(part + 1, reserve.toDouble()) && distance <= BORROWING_TOLERANCE
+        }
     }
 }
--- a/shares/src/test/kotlin/dogwoodgrade/shares/FleetSharesTest.kt
+++ b/shares/src/test/kotlin/dogwoodgrade/shares/FleetSharesTest.kt
@@ -108,9 +108,8 @@
         for (seed in 1L..4L) assertTrue(longestUrgentWait(seed, 1.5, 1_000, reserve = 6) <= 1_600)
     }
 
-    /** About as much urgent work as the reserve has slots; listed in KNOWN-RED.txt. */
+    /** About as much urgent work as the reserve has slots. Guards against urgent work that waits beside a free slot. */
     @Test
-    @Tag("known-red")
     fun `urgent work starts within 1600 ms while it needs the whole reserve`() {
         assertTrue((1L..4L).maxOf { longestUrgentWait(it, 2.0, 2_000, reserve = 2) } <= 1_600)
     }
