Grow pools by the work that arrives

In a zone cut new connections went to cut-off instances for up to 4.5 s, as an instance reported itself ready for 2.5 s after the store's last answer.

Change: ArrivalMeter measures the arriving batch work of each pool over a second; a pool's size is at least what that work keeps busy.

--- a/capacity/src/main/kotlin/dogwoodgrade/capacity/PoolSizing.kt
+++ b/capacity/src/main/kotlin/dogwoodgrade/capacity/PoolSizing.kt
@@ -14,6 +14,7 @@
  * @property growthAt use of a pool's room above which a burst is assumed
  * @property growthFactor factor on the demand of a pool in a burst, which goes on rising while machines move
  * @property earlyGrowthFactor the same while the pool has at most twice its smallest size: a burst has just begun
+ * @property arrivalFactor factor on the work that arrives, for what does not fit side by side
  * @property waitingShare part of what waits that counts as demand; the rest follows when the first tasks have ended
  * @property surplusTime time a pool has more than it needs before it gives machines away; a move costs about what a
  * second of a machine costs
@@ -25,6 +26,7 @@
     public val growthAt: Double = 0.6,
     public val growthFactor: Double = 1.15,
     public val earlyGrowthFactor: Double = 2.5,
+    public val arrivalFactor: Double = 1.1,
     public val waitingShare: Double = 0.6,
     public val surplusTime: Duration = 1200.milliseconds,
     public val movesAtOnce: Int = 8,
@@ -35,12 +37,14 @@
  *
  * @property inUse what runs
  * @property waiting what waits for room
+ * @property arriving what the arriving work keeps busy if it goes on arriving
  * @property standby its machines are switched off
  */
 public data class PoolDemand(
     public val pool: String,
     public val inUse: Resources,
     public val waiting: Resources,
+    public val arriving: Resources,
     public val standby: Boolean,
 )
 
@@ -136,18 +140,21 @@
     policy: SizingPolicy,
 ): Int {
     val unit = (usable.ifEmpty { machines }).map { it.machine.capacity }.firstOrNull() ?: return policy.smallestPool
-    val inUse = maxOf(share(demand.inUse.processor, unit.processor), share(demand.inUse.memory, unit.memory))
-    val waiting = maxOf(share(demand.waiting.processor, unit.processor), share(demand.waiting.memory, unit.memory))
-    val load = inUse + waiting * policy.waitingShare
+    val load = share(demand.inUse, unit) + share(demand.waiting, unit) * policy.waitingShare
     val factor =
         when {
             load <= usable.size * policy.growthAt -> policy.idleHeadroom
             usable.size <= policy.smallestPool * 2 -> policy.earlyGrowthFactor
             else -> policy.growthFactor
         }
-    return maxOf(policy.smallestPool, ceil(load * factor).toInt())
+    val arriving = share(demand.arriving, unit) * policy.arrivalFactor
+    return maxOf(policy.smallestPool, ceil(maxOf(load * factor, arriving)).toInt())
 }
 
+/** Returns how many machines of the size [unit] an amount fills. */
+private fun share(amount: Resources, unit: Resources): Double =
+    maxOf(share(amount.processor, unit.processor), share(amount.memory, unit.memory))
+
 private fun share(amount: Long, capacity: Long): Double = if (capacity <= 0) 0.0 else amount.toDouble() / capacity
 
 /** Prefers standby, then machines in zones where the pool has few. */
--- a/capacity/src/test/kotlin/dogwoodgrade/capacity/PoolSizingTest.kt
+++ b/capacity/src/test/kotlin/dogwoodgrade/capacity/PoolSizingTest.kt
@@ -15,8 +15,13 @@
     private fun machine(name: String, pool: String, movable: Boolean = true, zone: String = "a") =
         SizedMachine(Machine(name, pool, MachineState.Up, zone, null, unit), usable = true, movable = movable)
 
-    private fun demand(pool: String, inUse: Long = 0, waiting: Long = 0, standby: Boolean = false) =
-        PoolDemand(pool, Resources(inUse, 0), Resources(waiting, 0), standby)
+    private fun demand(
+        pool: String,
+        inUse: Long = 0,
+        waiting: Long = 0,
+        arriving: Long = 0,
+        standby: Boolean = false,
+    ) = PoolDemand(pool, Resources(inUse, 0), Resources(waiting, 0), Resources(arriving, 0), standby)
 
     private val standbyMachines = List(9) { machine("s$it", "standby") }
 
@@ -34,6 +39,15 @@
         assertTrue(plan.moves.all { it.pool == "a" && it.machine.pool == "standby" })
     }
 
+    /** Guards against pools that grow only when the first tasks of a burst have filled them. */
+    @Test
+    fun `a pool grows by what arrives before its tasks fill it`() {
+        val machines = List(3) { machine("a$it", "a", movable = false) }
+        val plan = plan(listOf(demand("a", inUse = 50_000, arriving = 500_000)), machines)
+        assertEquals(9, plan.wanted.getValue("a"))
+        assertEquals(6, plan.moves.count { it.pool == "a" })
+    }
+
     @Test
     fun `the pool with the smallest part of its need is served first`() {
         val machines =
@@ -68,7 +82,7 @@
     @Test
     fun `demand is the larger of processor and memory`() {
         val machines = List(3) { machine("a$it", "a", movable = false) }
-        val memory = PoolDemand("a", Resources(1_000, 380_000), Resources(0, 300_000), false)
+        val memory = PoolDemand("a", Resources(1_000, 380_000), Resources(0, 300_000), Resources.None, false)
         assertTrue(plan(listOf(memory), machines).wanted.getValue("a") > 4)
     }
 }
--- a/node/src/main/kotlin/dogwoodgrade/node/MachineLoop.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/MachineLoop.kt
@@ -80,9 +80,10 @@
         loadLoggedAt = now
         val pools =
             view.pools.values.joinToString(" ") {
-                "${it.pool}=${it.inUse.processor / 1000}/${it.capacity.processor / 1000}+${it.waiting.processor / 1000}"
+                "${it.pool}=${it.inUse.processor / 1000}/${it.capacity.processor / 1000}" +
+                    "+${it.waiting.processor / 1000}~${it.arriving.processor / 1000}"
             }
-        logger.info { "machines: load used/capacity+waiting cores $pools" }
+        logger.info { "machines: load used/capacity+waiting~arriving cores $pools" }
     }
 
     private suspend fun maintain(client: MachinesClient, machines: Map<String, Machine>, view: FleetView) {
@@ -154,7 +155,7 @@
         val now = clock.now()
         val evacuated = node.configuration.evacuatedZones()
         moved.values.removeIf { now - it > settings.moveTime + moveMargin }
-        val demands = view.pools.values.map { PoolDemand(it.pool, it.inUse, it.waiting, it.standby) }
+        val demands = view.pools.values.map { PoolDemand(it.pool, it.inUse, it.waiting, it.arriving, it.standby) }
         val standby = demands.filter { it.standby }.map { it.pool }.toSet()
         val sized = machines.values.map { sizedMachine(it, it.pool in standby, view, evacuated + silentZones(view)) }
         val plan = planPoolSizes(demands, sized, surplusSince, sizing, now)
--- a/node/src/main/kotlin/dogwoodgrade/node/Node.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/Node.kt
@@ -33,7 +33,7 @@
 private val logger = KotlinLogging.logger {}
 
 /** Time without an answer of the store after which this process reports itself not ready. */
-private val storeLostAfter: Duration = 2500.milliseconds
+private val storeLostAfter: Duration = 1200.milliseconds
 
 /** Pause of followers between two reads, in which records gather. */
 private val followerPause: Duration = 200.milliseconds
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetView.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetView.kt
@@ -8,12 +8,14 @@
  *
  * @property inUse what runs
  * @property waiting request of the tasks that wait for room
+ * @property arriving what the arriving batch work keeps busy if it goes on arriving
  * @property capacity what the usable executors offer
  */
 public data class PoolLoad(
     public val pool: String,
     public val inUse: Resources,
     public val waiting: Resources,
+    public val arriving: Resources,
     public val capacity: Resources,
     public val standby: Boolean,
 )
@@ -44,7 +46,7 @@
 /** Part of the request of jobs that cannot meet their objective any more that counts as demand. */
 private const val LATE_DEMAND: Double = 0.25
 
-internal fun fleetView(tables: FleetTables, now: Instant, wall: Instant): FleetView {
+internal fun fleetView(tables: FleetTables, arrivals: ArrivalMeter, now: Instant, wall: Instant): FleetView {
     val room = tables.configuration.teams.mapValuesTo(
         mutableMapOf(),
     ) { (name, team) -> remainingCap(tables, name, team.cap) }
@@ -55,6 +57,7 @@
                 pool,
                 executors.sum { it.used },
                 waitingRequest(tables, pool, room, now, wall),
+                arrivals.rate(pool, now),
                 executors.sum { it.report.capacity },
                 tables.configuration.pools[pool]?.standby == true,
             )
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
@@ -1,8 +1,12 @@
 package dogwoodgrade.scheduling
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
+/** Age up to which a job that is learned of counts as arriving; older ones were accepted before this ownership. */
+private val arrivalAge: Duration = 2.seconds
+
 /**
  * Schedules the jobs of all pools while this process owns them.
  *
@@ -19,11 +23,12 @@
     private val stops = StopPlanner(tables, listings, policy)
     private val starts = StartPlanner(tables, policy, nextRun)
     private val pace = PaceController(tables)
+    private val arrivals = ArrivalMeter()
     private val beyondEntitlement = mutableSetOf<JobIdentifier>()
     private var settledAt = Instant.DISTANT_PAST
 
     /** Returns what is known of pools and their load. */
-    public fun fleet(now: Instant, wall: Instant): FleetView = fleetView(tables, now, wall)
+    public fun fleet(now: Instant, wall: Instant): FleetView = fleetView(tables, arrivals, now, wall)
 
     /**
      * Starts ownership.
@@ -53,7 +58,11 @@
     /** Adds a job, with [progress] if it is known from before. A known identifier is ignored. */
     public fun accept(job: Job, progress: JobProgress?, now: Instant, wall: Instant) {
         if (job.identifier in tables.jobs) return
-        if (!starts.admit(job, now)) beyondEntitlement += job.identifier
+        if (!starts.admit(job, now)) {
+            beyondEntitlement += job.identifier
+        } else if (progress == null && job.repetition == null && wall - job.acceptedAt < arrivalAge) {
+            arrivals.add(tables.poolOf(job), job, now)
+        }
         transitions.accept(job, progress, now, wall)
         tables.events += SchedulerEvent(job.identifier, null, "accepted queue=${job.queue} steps=${summary(job)}")
     }
--- /dev/null
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/ArrivalMeterTest.kt
@@ -0,0 +1,42 @@
+package dogwoodgrade.scheduling
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+class ArrivalMeterTest {
+    private val start = Instant.fromEpochMilliseconds(1_000_000)
+    private val step = Step(5, Resources(4_000, 1_000), estimate = 1.seconds)
+
+    private fun job(vararg steps: Step) =
+        Job(JobIdentifier("j"), "queue", "pool", null, "", steps.toList(), null, start)
+
+    @Test
+    fun `steady arrivals show the resources that they keep busy`() {
+        val meter = ArrivalMeter()
+        // Ten jobs of 20 core-seconds each second keep 200 cores busy.
+        repeat(60) { meter.add("pool", job(step), start + 100.milliseconds * it) }
+        val processor = meter.rate("pool", start + 6.seconds).processor
+        assertTrue(processor in 170_000..230_000, "$processor")
+    }
+
+    /** Guards against surplus machines that stay in a pool whose burst is over. */
+    @Test
+    fun `the rate fades when nothing arrives`() {
+        val meter = ArrivalMeter()
+        meter.add("pool", job(step), start)
+        assertEquals(20_000, meter.rate("pool", start).processor)
+        assertTrue(meter.rate("pool", start + 3.seconds).processor < 1_100)
+    }
+
+    @Test
+    fun `work that runs until it is cancelled is no arriving work`() {
+        val meter = ArrivalMeter()
+        meter.add("pool", job(step.copy(longRunning = true)), start)
+        assertEquals(Resources.None, meter.rate("pool", start))
+        assertEquals(Resources.None, meter.rate("other", start))
+    }
+}
