Avoid zones whose answers are overdue

Machines whose executor never joined the live list counted as usable for good, and the pool stopped growing.

Change: ZoneContact judges zones as a whole: an answer that is 0.95 s overdue lets the owner ask the idle executors of the zone, and 0.15 s later the zone is silent if none has answered. Nothing starts or moves there until one does. A machine without a live executor counts as coming for 1.5 s after its move.

--- a/node/src/main/kotlin/dogwoodgrade/node/ExecutorWatcher.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/ExecutorWatcher.kt
@@ -57,6 +57,7 @@
             val sentAt = clock.now()
             val request =
                 fleet.withSchedule { it.grantRequest(identifier, grant, ownership.grantsUntil(), sentAt) } ?: return
+            fleet.withSchedule { it.asked(identifier, sentAt) }
             val wait = if (request.busy &&
                 !request.awaitsDurability &&
                 request.deadline != null
@@ -102,7 +103,7 @@
             next.awaitsDurability -> withTimeoutOrNull(durabilityWait) { awaitUntil { !it.awaitsDurability } }
             !next.busy && request.durableEnd == next.durableEnd -> withTimeoutOrNull(
                 idlePause,
-            ) { awaitUntil { it.busy } }
+            ) { awaitUntil { it.busy || it.probe } }
             // Without a lease there is no waiting request that would slow this loop down.
             next.busy && request.deadline == null -> delay(failurePause)
         }
--- a/node/src/main/kotlin/dogwoodgrade/node/MachineLoop.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/MachineLoop.kt
@@ -31,8 +31,8 @@
 /** Pause between two looks at the machines. */
 private val machinePause: Duration = 300.milliseconds
 
-/** Time after which a machine that was ordered to move counts by the list again. */
-private val moveMargin: Duration = 1.seconds
+/** Time after a move until its executor is in the live list, which shows it up to 0.8 s late, and has answered. */
+private val moveMargin: Duration = 1500.milliseconds
 
 /** Pause between two log lines on the load of the pools. */
 private val loadLogInterval: Duration = 1.seconds
@@ -157,7 +157,9 @@
         moved.values.removeIf { now - it > settings.moveTime + moveMargin }
         val demands = view.pools.values.map { PoolDemand(it.pool, it.inUse, it.waiting, it.arriving, it.standby) }
         val standby = demands.filter { it.standby }.map { it.pool }.toSet()
-        val sized = machines.values.map { sizedMachine(it, it.pool in standby, view, evacuated + silentZones(view)) }
+        // Without the live list every machine would look lost.
+        if (view.executors.isEmpty()) return
+        val sized = machines.values.map { sizedMachine(it, it.pool in standby, view, evacuated + view.silentZones) }
         val plan = planPoolSizes(demands, sized, surplusSince, sizing, now)
         surplusSince = plan.surplusSince
         for (move in plan.moves) {
@@ -165,19 +167,12 @@
         }
     }
 
-    /** Zones of which no executor answers; machines there are of no use even if they can be moved. */
-    private fun silentZones(view: FleetView): Set<String> =
-        view.executors.values
-            .groupBy { it.zone }
-            .filterValues { executors -> executors.none { it.reachable } }
-            .keys
-
     private fun sizedMachine(machine: Machine, standby: Boolean, view: FleetView, avoided: Set<String>): SizedMachine {
         val load = machine.executor?.let { view.executors[it] }
         val available = machine.zone !in avoided && machine.name !in emptying
         val coming = machine.state == MachineState.Moving || machine.name in moved
-        // An executor that is not in the live list yet is on its way; a lost one shows as a machine that is down.
-        val usable = available && (coming || machine.state == MachineState.Up && load?.usable != false)
+        // An executor that should have joined the live list by now is cut off or lost.
+        val usable = available && (coming || machine.state == MachineState.Up && load?.usable == true)
         val idle =
             load == null && standby || load != null && load.batchRuns == 0 && load.longRuns == 0 && !load.draining
         val movable = available && !coming && machine.state == MachineState.Up && idle
--- a/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
@@ -248,6 +248,7 @@
             plan.events.forEach { logger.info { "schedule: ${it.text} job=${it.job} executor=${it.executor}" } }
             if (plan.orders.isNotEmpty()) send(plan.orders)
             writer.notifyChanged()
+            plan.probes.forEach { watchers[it]?.wake() }
             plan.advice.forEach { request -> scope.launch { advise(request) } }
             delay(planGap)
         }
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ExecutorRow.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ExecutorRow.kt
@@ -18,6 +18,9 @@
     var clockReadAt: Instant = Instant.DISTANT_PAST
     var grantedUntil: Duration = Duration.ZERO
     var listedAt: Instant? = null
+
+    /** When the first request was sent that has no answer yet, or `null` if none is under way. */
+    var unansweredSince: Instant? = null
     var reachable: Boolean = true
     var vanished: Boolean = false
 
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetTables.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetTables.kt
@@ -18,6 +18,7 @@
     val stopsWanted: LinkedHashMap<TaskName, StopReason> = linkedMapOf()
     val events: MutableList<SchedulerEvent> = mutableListOf()
     var configuration: SchedulingConfiguration = SchedulingConfiguration()
+    var zones: ZoneContact = ZoneContact()
 
     fun task(name: TaskName): TaskRow? = jobs[name.job]?.task(name)
 
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetView.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetView.kt
@@ -37,10 +37,15 @@
     public val longRuns: Int,
 )
 
-/** A copy of the load of the fleet that other decisions may use without the lock. */
+/**
+ * A copy of the load of the fleet that other decisions may use without the lock.
+ *
+ * @property silentZones availability zones of which no executor answers
+ */
 public data class FleetView(
     public val pools: Map<String, PoolLoad>,
     public val executors: Map<ExecutorIdentifier, ExecutorLoad>,
+    public val silentZones: Set<String>,
 )
 
 /** Part of the request of jobs that cannot meet their objective any more that counts as demand. */
@@ -62,7 +67,7 @@
                 tables.configuration.pools[pool]?.standby == true,
             )
         }
-    return FleetView(pools, tables.executors.mapValues { (_, row) -> loadOf(tables, row, now) })
+    return FleetView(pools, tables.executors.mapValues { (_, row) -> loadOf(tables, row, now) }, tables.zones.silent)
 }
 
 private fun remainingCap(tables: FleetTables, team: String, cap: Resources): Resources {
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ListingProcessor.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ListingProcessor.kt
@@ -15,6 +15,7 @@
     private val policy: SchedulingPolicy,
 ) {
     fun process(executor: ExecutorRow, listing: ExecutorListing, requestedAt: Instant, now: Instant) {
+        executor.unansweredSince = null
         if (listing.incarnation != executor.report.incarnation) {
             if (listing.incarnation > executor.report.incarnation) restart(executor, listing.incarnation, now)
             return
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Placement.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Placement.kt
@@ -5,11 +5,11 @@
 /**
  * What placement may use.
  *
- * @property evacuated availability zones that operators have taken out
+ * @property avoidedZones availability zones in which nothing may start
  */
 internal data class PlacementContext(
     val now: Instant,
-    val evacuated: Set<String>,
+    val avoidedZones: Set<String>,
     val needsTicket: Boolean,
 )
 
@@ -22,7 +22,7 @@
     val step = row.step
     return executors.filter { executor ->
         executor.usable(context.now) &&
-            executor.report.zone !in context.evacuated &&
+            executor.report.zone !in context.avoidedZones &&
             (step.requiredLabel == null || step.requiredLabel in executor.report.labels) &&
             (!context.needsTicket || hasTicket(row, executor, context.now))
     }
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
@@ -158,9 +158,15 @@
             row.durableEnd,
             waiting,
             row.runs.isNotEmpty() || row.listedAt == null,
+            executor in tables.zones.probes,
         )
     }
 
+    /** Notes that a request is sent to [executor] now. */
+    public fun asked(executor: ExecutorIdentifier, now: Instant) {
+        tables.executors[executor]?.let { if (it.unansweredSince == null) it.unansweredSince = now }
+    }
+
     /** Processes what an executor answered to a request that was sent at [requestedAt]. */
     public fun listed(executor: ExecutorIdentifier, listing: ExecutorListing, requestedAt: Instant, now: Instant) {
         tables.executors[executor]?.let { listings.process(it, listing, requestedAt, now) }
@@ -214,17 +220,27 @@
 
     /** Decides what to do now. Nothing is decided once [ownedUntil] has passed. */
     public fun plan(now: Instant, wall: Instant, ownedUntil: Instant, evacuated: Set<String>): SchedulerPlan {
-        if (now >= ownedUntil) return SchedulerPlan(emptyList(), emptyList(), takeEvents())
+        judgeZones(now)
+        val probes = tables.zones.probes
+        if (now >= ownedUntil) return SchedulerPlan(emptyList(), emptyList(), probes, takeEvents())
         expireGrants(now)
         for (row in tables.jobs.values) {
             if (row.job.repetition != null && !row.ended && transitions.createDueOccurrences(row, wall)) {
                 transitions.releaseSteps(row, now)
             }
         }
-        val inputs = PlanInputs(now, wall, evacuated, beyondEntitlement)
+        val inputs = PlanInputs(now, wall, evacuated + tables.zones.silent, beyondEntitlement)
         starts.plan(inputs)
         val orders = stops.plan(now) + pace.plan(now)
-        return SchedulerPlan(orders, starts.adviceWanted.toList(), takeEvents())
+        return SchedulerPlan(orders, starts.adviceWanted.toList(), probes, takeEvents())
+    }
+
+    private fun judgeZones(now: Instant) {
+        val before = tables.zones.silent
+        tables.zones = zoneContact(tables.executors.values, now)
+        val silent = tables.zones.silent
+        for (zone in silent - before) tables.events += SchedulerEvent(null, null, "zone silent zone=$zone")
+        for (zone in before - silent) tables.events += SchedulerEvent(null, null, "zone answers again zone=$zone")
     }
 
     /** Lets the tasks wait again whose executor has not answered until every grant that it may have has ended. */
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/SchedulerOutputs.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/SchedulerOutputs.kt
@@ -6,11 +6,13 @@
  * What the scheduler wants done.
  *
  * @property advice questions to the advisory service
+ * @property probes executors to ask at once
  * @property events conclusions for the log
  */
 public data class SchedulerPlan(
     public val orders: List<Order>,
     public val advice: List<AdviceRequest>,
+    public val probes: Set<ExecutorIdentifier>,
     public val events: List<SchedulerEvent>,
 )
 
@@ -19,6 +21,8 @@
  *
  * @property deadline end of the grant on the executor's clock, or `null` to extend nothing
  * @property durableEnd number up to which the executor may forget ends
+ * @property busy runs are there, or nothing is known of the executor yet
+ * @property probe another executor of the zone is overdue, so that this one is asked as well
  */
 public data class GrantRequest(
     public val report: ExecutorReport,
@@ -26,6 +30,7 @@
     public val durableEnd: Long,
     public val awaitsDurability: Boolean,
     public val busy: Boolean,
+    public val probe: Boolean,
 )
 
 /**
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/StartPlanner.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/StartPlanner.kt
@@ -45,7 +45,7 @@
 
     private fun startStep(row: StepRow, executors: List<ExecutorRow>, inputs: PlanInputs) {
         val needsTicket = tables.configuration.queues[row.job.job.queue]?.needsAdvice == true
-        val context = PlacementContext(inputs.now, inputs.evacuated, needsTicket)
+        val context = PlacementContext(inputs.now, inputs.avoidedZones, needsTicket)
         if (needsTicket) requestAdvice(row, executors, inputs)
         val allowed = allowedExecutors(row, executors, context)
         if (row.step.gang) {
@@ -186,11 +186,12 @@
  * Inputs of one plan.
  *
  * @property wall time of day, for the times of repeated jobs
+ * @property avoidedZones availability zones that operators have taken out, and those that do not answer
  */
 internal data class PlanInputs(
     val now: Instant,
     val wall: Instant,
-    val evacuated: Set<String>,
+    val avoidedZones: Set<String>,
     val beyondEntitlement: Set<JobIdentifier>,
 )
 
--- a/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SchedulerTest.kt
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SchedulerTest.kt
@@ -253,4 +253,19 @@
         scheduler.accept(job("a", width = 2), null, now, now)
         assertEquals(1, starts(scheduler).size)
     }
+
+    /** Guards against tasks that are started on idle executors of a zone that is cut off. */
+    @Test
+    fun `nothing starts in a zone whose answers are overdue`() {
+        val far = listOf("f1", "f2").map { report(it).copy(zone = "zone-f") }
+        val near = report("n1", cores = 2)
+        val scheduler = scheduler(far[0], far[1], near)
+        scheduler.asked(far[0].identifier, now)
+        scheduler.asked(far[1].identifier, now)
+        now += 1200.milliseconds
+        list(scheduler, near)
+        scheduler.accept(chainJob("j", now, 1), null, now, now)
+        scheduler.plan(now, now, forever, emptySet())
+        assertEquals(listOf(near.identifier), makeDurable(scheduler).map { it.executor })
+    }
 }
--- a/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SimulatedFleet.kt
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SimulatedFleet.kt
@@ -132,6 +132,7 @@
     private fun look(executor: SimulatedExecutor) {
         val identifier = executor.report.identifier
         val request = scheduler.grantRequest(identifier, grant, leaseEnd, now) ?: return
+        scheduler.asked(identifier, now)
         if (!reached(executor)) {
             scheduler.unreachable(identifier)
             return
