Move standby machines again at once, and forget executors that were moved

Change: a standby machine can be moved as soon as its move is over; the moves of a plan are ordered together; a silent zone stays silent for 5 s after its last executor was dropped; executors that were ordered away are not taken from the live list again. The progress of an ended job no longer lists its tasks, which a restart has to read.

--- a/node/src/main/kotlin/dogwoodgrade/node/MachineLoop.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/MachineLoop.kt
@@ -7,6 +7,7 @@
 import dogwoodgrade.capacity.MaintenanceOrder
 import dogwoodgrade.capacity.PoolDemand
 import dogwoodgrade.capacity.SizedMachine
+import dogwoodgrade.capacity.SizingPlan
 import dogwoodgrade.capacity.SizingPolicy
 import dogwoodgrade.capacity.WaveProgress
 import dogwoodgrade.capacity.planMaintenance
@@ -20,6 +21,9 @@
 import dogwoodgrade.scheduling.ExecutorIdentifier
 import dogwoodgrade.scheduling.FleetView
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -32,7 +36,7 @@
 private val machinePause: Duration = 300.milliseconds
 
 /** Time after a move until its executor is in the live list, which shows it up to 0.8 s late, and has answered. */
-private val moveMargin: Duration = 1500.milliseconds
+private val joinTime: Duration = 1500.milliseconds
 
 /** Pause between two log lines on the load of the pools. */
 private val loadLogInterval: Duration = 1.seconds
@@ -154,7 +158,7 @@
     private suspend fun size(client: MachinesClient, machines: Map<String, Machine>, view: FleetView) {
         val now = clock.now()
         val evacuated = node.configuration.evacuatedZones()
-        moved.values.removeIf { now - it > settings.moveTime + moveMargin }
+        moved.values.removeIf { now - it > settings.moveTime + joinTime }
         val demands = view.pools.values.map { PoolDemand(it.pool, it.inUse, it.waiting, it.arriving, it.standby) }
         val standby = demands.filter { it.standby }.map { it.pool }.toSet()
         // Without the live list every machine would look lost.
@@ -162,15 +166,16 @@
         val sized = machines.values.map { sizedMachine(it, it.pool in standby, view, evacuated + view.silentZones) }
         val plan = planPoolSizes(demands, sized, surplusSince, sizing, now)
         surplusSince = plan.surplusSince
-        for (move in plan.moves) {
-            if (clock.now() < node.ownership.ordersUntil()) move(client, move, plan.wanted)
-        }
+        move(client, plan)
     }
 
     private fun sizedMachine(machine: Machine, standby: Boolean, view: FleetView, avoided: Set<String>): SizedMachine {
         val load = machine.executor?.let { view.executors[it] }
         val available = machine.zone !in avoided && machine.name !in emptying
-        val coming = machine.state == MachineState.Moving || machine.name in moved
+        val movedAt = moved[machine.name]
+        // Standby machines have no executor that could join.
+        val arriving = movedAt != null && (clock.now() - movedAt < settings.moveTime || !standby && load == null)
+        val coming = machine.state == MachineState.Moving || arriving
         // An executor that should have joined the live list by now is cut off or lost.
         val usable = available && (coming || machine.state == MachineState.Up && load?.usable == true)
         val idle =
@@ -179,12 +184,23 @@
         return SizedMachine(machine, usable, movable)
     }
 
-    private suspend fun move(client: MachinesClient, move: MachineMove, wanted: Map<String, Int>) {
+    /** Orders all moves at once: one after the other, the last of a burst would wait for the answers to the others. */
+    private suspend fun move(client: MachinesClient, plan: SizingPlan) =
+        coroutineScope {
+            plan.moves
+                .filter { move ->
+                    val executor = move.machine.executor
+                    // Between the plan and the order, work may have been placed on the executor.
+                    clock.now() < node.ownership.ordersUntil() &&
+                        (executor == null || fleet.withSchedule { it.reserveForMove(executor) })
+                }.map { move -> async { move to client.move(move.machine.name, move.pool, epoch) } }
+                .awaitAll()
+                .forEach { (move, outcome) -> moveAnswered(move, outcome, plan.wanted) }
+        }
+
+    private fun moveAnswered(move: MachineMove, outcome: MachineOutcome, wanted: Map<String, Int>) {
         val machine = move.machine
         val executor = machine.executor
-        // Between the plan and the order, work may have been placed on the executor.
-        if (executor != null && !fleet.withSchedule { it.reserveForMove(executor) }) return
-        val outcome = client.move(machine.name, move.pool, epoch)
         logger.info {
             "machines: move machine=${machine.name} from=${machine.pool} to=${move.pool} epoch=$epoch " +
                 "wanted=${wanted[move.pool]} outcome=$outcome"
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Job.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Job.kt
@@ -128,7 +128,7 @@
  *
  * A run is part of it before its start is ordered, so that a new owner knows every run that may exist.
  *
- * @property completed tasks that have completed
+ * @property completed tasks that have completed, while the job has not ended
  * @property failures numbers of the failed runs per task; tasks without failures are absent
  * @property checkpoints newest checkpoint per task that is not running
  * @property started runs that exist or may exist
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobRows.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobRows.kt
@@ -109,9 +109,9 @@
         val checkpoints = mutableMapOf<TaskPosition, String>()
         for (row in allTasks()) {
             val position = TaskPosition(row.name.occurrence, row.name.step, row.name.index)
-            if (row.phase == TaskPhase.Done) completed += position
             row.active?.let { started[position] = StartedRun(it.executor, it.run) }
             if (ended) continue
+            if (row.phase == TaskPhase.Done) completed += position
             if (row.failedRuns.isNotEmpty()) failures[position] = row.failedRuns
             if (row.checkpoint.isNotEmpty() && row.phase != TaskPhase.Done) checkpoints[position] = row.checkpoint
         }
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
@@ -25,6 +25,9 @@
     private val pace = PaceController(tables)
     private val arrivals = ArrivalMeter()
     private val beyondEntitlement = mutableSetOf<JobIdentifier>()
+
+    /** Incarnations of executors that are known to have ended; the live list goes on showing them for some seconds. */
+    private val endedExecutors = mutableMapOf<ExecutorIdentifier, Long>()
     private var settledAt = Instant.DISTANT_PAST
 
     /** Returns what is known of pools and their load. */
@@ -98,8 +101,10 @@
 
     /** Replaces the live list. Executors that it lacks get no more work, but their runs count until they expire. */
     public fun executorsReported(reports: List<ExecutorReport>, now: Instant) {
-        val present = reports.associateBy { it.identifier }
-        for (report in reports) {
+        endedExecutors.keys.retainAll(reports.mapTo(mutableSetOf()) { it.identifier })
+        val alive = reports.filter { it.incarnation > (endedExecutors[it.identifier] ?: Long.MIN_VALUE) }
+        val present = alive.mapTo(mutableSetOf()) { it.identifier }
+        for (report in alive) {
             val row = tables.executors.getOrPut(report.identifier) { ExecutorRow(report) }
             if (report.incarnation < row.report.incarnation) continue
             if (report.incarnation > row.report.incarnation) listings.restart(row, report.incarnation, now)
@@ -135,6 +140,7 @@
     /** The executor ended by an order of ours or is known to be gone: nothing runs there. */
     public fun executorGone(executor: ExecutorIdentifier, now: Instant) {
         val row = tables.executors[executor] ?: return
+        endedExecutors[executor] = row.report.incarnation
         listings.loseRuns(row, now)
         tables.dropExecutor(executor)
     }
@@ -237,7 +243,7 @@
 
     private fun judgeZones(now: Instant) {
         val before = tables.zones.silent
-        tables.zones = zoneContact(tables.executors.values, now)
+        tables.zones = zoneContact(tables.executors.values, tables.zones, now)
         val silent = tables.zones.silent
         for (zone in silent - before) tables.events += SchedulerEvent(null, null, "zone silent zone=$zone")
         for (zone in before - silent) tables.events += SchedulerEvent(null, null, "zone answers again zone=$zone")
--- a/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SchedulerTest.kt
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SchedulerTest.kt
@@ -268,4 +268,16 @@
         scheduler.plan(now, now, forever, emptySet())
         assertEquals(listOf(near.identifier), makeDurable(scheduler).map { it.executor })
     }
+
+    /** Guards against zones that count as silent because all their machines were moved away. */
+    @Test
+    fun `an executor that was ordered away stays away while the live list still shows it`() {
+        val moved = report("m1")
+        val scheduler = scheduler(moved)
+        scheduler.executorGone(moved.identifier, now)
+        scheduler.executorsReported(listOf(moved), now)
+        assertEquals(emptyList(), scheduler.executors())
+        scheduler.executorsReported(listOf(moved.copy(incarnation = 2)), now)
+        assertEquals(listOf(moved.identifier), scheduler.executors().map { it.identifier })
+    }
 }
--- a/scheduling/src/test/kotlin/dogwoodgrade/scheduling/ZoneContactTest.kt
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/ZoneContactTest.kt
@@ -31,7 +31,7 @@
                 row("a3", "a", listed = 3.seconds, unanswered = 200.milliseconds),
                 row("b1", "b", listed = 100.milliseconds),
             )
-        assertEquals(setOf("a"), zoneContact(rows, now).silent)
+        assertEquals(setOf("a"), zoneContact(rows, ZoneContact(), now).silent)
     }
 
     @Test
@@ -43,8 +43,8 @@
                 row("a3", "a", listed = 500.milliseconds),
                 row("b1", "b", listed = 3.seconds),
             )
-        assertEquals(names("a2"), zoneContact(rows, now).probes)
-        assertEquals(emptySet(), zoneContact(rows, now).silent)
+        assertEquals(names("a2"), zoneContact(rows, ZoneContact(), now).probes)
+        assertEquals(emptySet(), zoneContact(rows, ZoneContact(), now).silent)
     }
 
     /** Guards against a crashed rack that takes its whole zone out of use. */
@@ -56,12 +56,22 @@
                 row("a2", "a", listed = 4.seconds, unanswered = 3.seconds),
                 row("a3", "a", listed = 100.milliseconds),
             )
-        assertEquals(ZoneContact(), zoneContact(rows, now))
+        assertEquals(ZoneContact(), zoneContact(rows, ZoneContact(), now))
     }
 
     @Test
     fun `an answer that may still come in time makes nobody doubt`() {
         val rows = listOf("a1", "a2").map { row(it, "a", listed = 900.milliseconds, unanswered = 800.milliseconds) }
-        assertEquals(ZoneContact(), zoneContact(rows, now))
+        assertEquals(ZoneContact(), zoneContact(rows, ZoneContact(), now))
+    }
+
+    /** Guards against machine moves into a zone whose executors have lapsed from the live list. */
+    @Test
+    fun `a silent zone stays silent for a while after its last executor was dropped`() {
+        val rows = listOf(row("b1", "b", listed = 100.milliseconds))
+        val first = zoneContact(rows, ZoneContact(silent = setOf("a")), now)
+        assertEquals(setOf("a"), first.silent)
+        assertEquals(setOf("a"), zoneContact(rows, first, now + 4.seconds).silent)
+        assertEquals(emptySet(), zoneContact(rows, first, now + 5.seconds).silent)
     }
 }
