Take over after 1.2 s, size pools soon after it, keep pools in several zones

Change: orders for 1.0 s and takeover after 1.2 s of silence, candidates spread over 0.15 s; the first look at the machines follows when the executors have answered, 0.3 s after the takeover at the latest; surplus machines leave the zones where the pool has the most; limits per machine count as need.

--- a/capacity/src/main/kotlin/dogwoodgrade/capacity/PoolSizing.kt
+++ b/capacity/src/main/kotlin/dogwoodgrade/capacity/PoolSizing.kt
@@ -9,7 +9,8 @@
 /**
  * Figures that pools are sized with.
  *
- * @property smallestPool machines that every pool keeps; a burst is served by them until others have come
+ * @property smallestPool machines that every pool keeps, in two zones if possible; a burst is served by them until others
+ * have come
  * @property idleHeadroom factor on the demand of a calm pool
  * @property growthAt use of a pool's room above which a burst is assumed
  * @property growthFactor factor on the demand of a pool in a burst, which goes on rising while machines move
@@ -38,6 +39,7 @@
  * @property inUse what runs
  * @property waiting what waits for room
  * @property arriving what the arriving work keeps busy if it goes on arriving
+ * @property spread machines that the limits on tasks of one step per machine ask for
  * @property standby its machines are switched off
  */
 public data class PoolDemand(
@@ -45,6 +47,7 @@
     public val inUse: Resources,
     public val waiting: Resources,
     public val arriving: Resources,
+    public val spread: Int,
     public val standby: Boolean,
 )
 
@@ -151,7 +154,7 @@
             else -> policy.growthFactor
         }
     val arriving = share(demand.arriving, unit) * policy.arrivalFactor
-    return ceil(maxOf(load * factor, arriving)).toInt()
+    return maxOf(demand.spread, ceil(maxOf(load * factor, arriving)).toInt())
 }
 
 /** Returns how many machines of the size [unit] an amount fills. */
@@ -179,6 +182,7 @@
         )
 }
 
+/** Gives surplus machines away from the zones where the pool has the most. */
 private fun returns(
     surplus: Map<String, Instant>,
     free: List<SizedMachine>,
@@ -189,8 +193,11 @@
     now: Instant,
 ): List<MachineMove> =
     surplus.filter { now - it.value >= policy.surplusTime }.keys.flatMap { pool ->
-        free
-            .filter { it.machine.pool == pool }
+        val zones = free.filter { it.machine.pool == pool }.groupBy { it.machine.zone }
+        val ranked = zones.values.flatMap { machines -> machines.mapIndexed { rank, machine -> rank to machine } }
+        ranked
+            .sortedByDescending { it.first }
+            .map { it.second }
             .take(size.getValue(pool) - wanted.getValue(pool))
             .map { MachineMove(it.machine, standby) }
     }
--- a/capacity/src/test/kotlin/dogwoodgrade/capacity/PoolSizingTest.kt
+++ b/capacity/src/test/kotlin/dogwoodgrade/capacity/PoolSizingTest.kt
@@ -20,8 +20,9 @@
         inUse: Long = 0,
         waiting: Long = 0,
         arriving: Long = 0,
+        spread: Int = 0,
         standby: Boolean = false,
-    ) = PoolDemand(pool, Resources(inUse, 0), Resources(waiting, 0), Resources(arriving, 0), standby)
+    ) = PoolDemand(pool, Resources(inUse, 0), Resources(waiting, 0), Resources(arriving, 0), spread, standby)
 
     private val standbyMachines = List(9) { machine("s$it", "standby") }
 
@@ -84,7 +85,23 @@
     @Test
     fun `demand is the larger of processor and memory`() {
         val machines = List(3) { machine("a$it", "a", movable = false) }
-        val memory = PoolDemand("a", Resources(1_000, 380_000), Resources(0, 300_000), Resources.None, false)
+        val memory = PoolDemand("a", Resources(1_000, 380_000), Resources(0, 300_000), Resources.None, 0, false)
         assertTrue(plan(listOf(memory), machines).wanted.getValue("a") > 4)
     }
+
+    /** Guards against long-running tasks that wait for good because a pool is smaller than their step may be packed. */
+    @Test
+    fun `a pool keeps the machines that limits per machine ask for`() {
+        val machines = List(5) { machine("a$it", "a") }
+        val plan = plan(listOf(demand("a", inUse = 20_000, spread = 5)), machines, mapOf("a" to now - 5.seconds))
+        assertTrue(plan.moves.isEmpty(), plan.moves.toString())
+    }
+
+    /** Guards against a pool whose last machines are all lost with one zone. */
+    @Test
+    fun `surplus machines leave the zones where the pool has the most`() {
+        val machines = List(3) { machine("a$it", "a") } + machine("b0", "a", zone = "b")
+        val plan = plan(listOf(demand("a")), machines, mapOf("a" to now - 5.seconds))
+        assertEquals(listOf("a"), plan.moves.map { it.machine.zone })
+    }
 }
--- a/node/src/main/kotlin/dogwoodgrade/node/MachineLoop.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/MachineLoop.kt
@@ -35,6 +35,12 @@
 /** Pause between two looks at the machines. */
 private val machinePause: Duration = 300.milliseconds
 
+/** Pause between two looks at the executors at the beginning of a term. */
+private val firstPause: Duration = 50.milliseconds
+
+/** Longest wait for the executors at the beginning of a term; they answer within some ten milliseconds if at all. */
+private val longestFirstWait: Duration = 300.milliseconds
+
 /** Time after a move until its executor is in the live list, which shows it up to 0.8 s late, and has answered. */
 private val joinTime: Duration = 1500.milliseconds
 
@@ -68,13 +74,24 @@
     /** Looks at machines and gives orders until the coroutine is cancelled. */
     suspend fun run() {
         val client = node.machines ?: return
+        awaitExecutors()
         while (true) {
-            delay(machinePause)
             val view = fleet.withSchedule { it.fleet(clock.now(), clock.wall()) }
             logLoad(view)
-            val machines = client.machines()?.associateBy { it.name } ?: continue
-            maintain(client, machines, view)
-            size(client, machines, view)
+            client.machines()?.associateBy { it.name }?.let { machines ->
+                maintain(client, machines, view)
+                size(client, machines, view)
+            }
+            delay(machinePause)
+        }
+    }
+
+    /** Waits until the executors have answered; before, every machine would look lost. */
+    private suspend fun awaitExecutors() {
+        repeat((longestFirstWait / firstPause).toInt()) {
+            delay(firstPause)
+            val executors = fleet.withSchedule { it.fleet(clock.now(), clock.wall()) }.executors.values
+            if (executors.isNotEmpty() && executors.all { it.known }) return
         }
     }
 
@@ -159,7 +176,7 @@
         val now = clock.now()
         val evacuated = node.configuration.evacuatedZones()
         moved.values.removeIf { now - it > settings.moveTime + joinTime }
-        val demands = view.pools.values.map { PoolDemand(it.pool, it.inUse, it.waiting, it.arriving, it.standby) }
+        val demands = view.pools.values.map { PoolDemand(it.pool, it.inUse, it.waiting, it.arriving, it.spread, it.standby) }
         val standby = demands.filter { it.standby }.map { it.pool }.toSet()
         // Without the live list every machine would look lost.
         if (view.executors.isEmpty()) return
--- a/ownership/src/main/kotlin/dogwoodgrade/ownership/OwnershipPolicy.kt
+++ b/ownership/src/main/kotlin/dogwoodgrade/ownership/OwnershipPolicy.kt
@@ -19,10 +19,10 @@
  */
 public data class OwnershipPolicy(
     public val renewEvery: Duration = 300.milliseconds,
-    public val ordersFor: Duration = 1200.milliseconds,
+    public val ordersFor: Duration = 1000.milliseconds,
     public val grantsFor: Duration = 6000.milliseconds,
-    public val suspectAfter: Duration = 1400.milliseconds,
-    public val candidateSpread: Duration = 300.milliseconds,
+    public val suspectAfter: Duration = 1200.milliseconds,
+    public val candidateSpread: Duration = 150.milliseconds,
     public val clockError: Double = 0.02,
 ) {
     init {
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetView.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetView.kt
@@ -9,6 +9,7 @@
  * @property inUse what runs
  * @property waiting request of the tasks that wait for room
  * @property arriving what the arriving batch work keeps busy if it goes on arriving
+ * @property spread executors that the limits on tasks of one step per executor ask for
  * @property capacity what the usable executors offer
  */
 public data class PoolLoad(
@@ -16,6 +17,7 @@
     public val inUse: Resources,
     public val waiting: Resources,
     public val arriving: Resources,
+    public val spread: Int,
     public val capacity: Resources,
     public val standby: Boolean,
 )
@@ -23,6 +25,7 @@
 /**
  * What planned work on an executor's machine would interrupt.
  *
+ * @property known it has answered this owner, or does not answer
  * @property batchRuns runs that end by themselves
  * @property longRuns runs that have to be moved
  */
@@ -33,6 +36,7 @@
     public val draining: Boolean,
     public val reachable: Boolean,
     public val usable: Boolean,
+    public val known: Boolean,
     public val batchRuns: Int,
     public val longRuns: Int,
 )
@@ -55,6 +59,7 @@
     val room = tables.configuration.teams.mapValuesTo(
         mutableMapOf(),
     ) { (name, team) -> remainingCap(tables, name, team.cap) }
+    val spreads = spreads(tables)
     val pools =
         tables.configuration.pools.keys.associateWith { pool ->
             val executors = tables.executors.values.filter { it.report.pool == pool && it.usable(now) }
@@ -63,6 +68,7 @@
                 executors.sum { it.used },
                 waitingRequest(tables, pool, room, now, wall),
                 arrivals.rate(pool, now),
+                spreads[pool] ?: 0,
                 executors.sum { it.report.capacity },
                 tables.configuration.pools[pool]?.standby == true,
             )
@@ -70,6 +76,20 @@
     return FleetView(pools, tables.executors.mapValues { (_, row) -> loadOf(tables, row, now) }, tables.zones.silent)
 }
 
+/** Returns the executors that long-running steps with a limit on tasks per executor need, by pool. */
+private fun spreads(tables: FleetTables): Map<String, Int> {
+    val spreads = mutableMapOf<String, Int>()
+    for (row in tables.jobs.values) {
+        if (row.ended || !row.job.longRunning) continue
+        for (step in row.job.steps) {
+            if (step.tasksPerExecutor == 0) continue
+            val executors = (step.count + step.tasksPerExecutor - 1) / step.tasksPerExecutor
+            spreads.merge(tables.poolOf(row.job), executors, ::maxOf)
+        }
+    }
+    return spreads
+}
+
 private fun remainingCap(tables: FleetTables, team: String, cap: Resources): Resources {
     val use = tables.teamUse[team] ?: Resources.None
 
@@ -119,6 +139,7 @@
         row.report.draining || row.vanished,
         row.reachable,
         row.usable(now),
+        row.listedAt != null || !row.reachable,
         batch.size,
         long.size,
     )
