Start speculative tasks again where the answer is overdue

The abandoned run counts against the executor and the team's cap until the executor lists it no longer or its grants have ended; it is part of the job's progress, so that the next owner counts it too. A run that is listed again while its copy exists is stopped; the first to complete counts.

--- a/node/src/main/kotlin/dogwoodgrade/node/FleetRecords.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/FleetRecords.kt
@@ -257,6 +257,7 @@
     @SerialName("f") val failures: Map<String, List<Long>> = emptyMap(),
     @SerialName("c") val checkpoints: Map<String, String> = emptyMap(),
     @SerialName("r") val started: Map<String, String> = emptyMap(),
+    @SerialName("a") val abandoned: Map<String, String> = emptyMap(),
 ) {
     fun toProgress(): JobProgress =
         JobProgress(
@@ -265,6 +266,7 @@
             failures.entries.associate { (key, value) -> position(key) to value.toSet() },
             checkpoints.mapKeys { (key, _) -> position(key) },
             started.entries.associate { (key, value) -> position(key) to startedRun(value) },
+            abandoned.entries.associate { (key, value) -> position(key) to startedRun(value) },
         )
 
     companion object {
@@ -274,9 +276,12 @@
                 progress.completed.map { text(it) },
                 progress.failures.entries.associate { (key, value) -> text(key) to value.toList() },
                 progress.checkpoints.mapKeys { (key, _) -> text(key) },
-                progress.started.entries.associate { (key, value) -> text(key) to "${value.run}@${value.executor}" },
+                progress.started.entries.associate { (key, value) -> text(key) to text(value) },
+                progress.abandoned.entries.associate { (key, value) -> text(key) to text(value) },
             )
 
+        private fun text(run: StartedRun) = "${run.run}@${run.executor}"
+
         private fun text(position: TaskPosition) = "${position.occurrence}.${position.step}.${position.index}"
 
         private fun startedRun(text: String): StartedRun {
--- a/node/src/main/kotlin/dogwoodgrade/node/JobTable.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/JobTable.kt
@@ -138,7 +138,8 @@
 
     private fun isOver(known: KnownJob): Boolean {
         val progress = known.progress ?: return false
-        return progress.started.isEmpty() && progress.state != JobState.Queued && progress.state != JobState.Active
+        val running = progress.started.isNotEmpty() || progress.abandoned.isNotEmpty()
+        return !running && progress.state != JobState.Queued && progress.state != JobState.Active
     }
 
     /** Number of jobs of [queue] that no task has been started of. */
--- a/node/src/test/kotlin/dogwoodgrade/node/TablesTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/TablesTest.kt
@@ -65,6 +65,7 @@
                 mapOf(position to setOf(4L, 9L)),
                 mapOf(position to "00ff"),
                 mapOf(position to StartedRun(ExecutorIdentifier("i-1"), 12)),
+                mapOf(position to StartedRun(ExecutorIdentifier("i-2"), 11)),
             )
         assertEquals(progress, FleetRecords.decodeProgress(FleetRecords.encode(progress)))
     }
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ExecutorRow.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ExecutorRow.kt
@@ -14,6 +14,9 @@
 ) {
     val runs: MutableMap<TaskName, ActiveRun> = mutableMapOf()
 
+    /** Runs that were given up in favour of a copy and may still exist. */
+    val abandoned: MutableMap<TaskName, AbandonedRun> = mutableMapOf()
+
     /** How many of [runs] are of long-running tasks. */
     var longRuns: Int = 0
     var used: Resources = Resources.None
@@ -43,6 +46,9 @@
     val rack: String?
         get() = report.labels.getOrNull(1)
 
+    val mayHoldRuns: Boolean
+        get() = runs.isNotEmpty() || abandoned.isNotEmpty()
+
     val free: Resources
         get() = report.capacity - used
 
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetTables.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetTables.kt
@@ -1,5 +1,6 @@
 package dogwoodgrade.scheduling
 
+import kotlin.time.Duration
 import kotlin.time.Instant
 
 /**
@@ -71,6 +72,40 @@
         }
     }
 
+    /** Gives [run] up without knowing that it has ended; it goes on counting. */
+    fun abandon(executor: ExecutorRow, task: TaskRow, run: ActiveRun) {
+        val step = stepOf(task.name) ?: return
+        executor.runs -= task.name
+        executor.abandoned[task.name] = AbandonedRun(run, step.step, step.job.job.team)
+        task.active = null
+        task.abandoned = StartedRun(run.executor, run.run)
+        stopsWanted -= task.name
+        changed += task.name.job
+    }
+
+    /** Counts a run that an earlier owner abandoned. */
+    fun inheritAbandoned(task: TaskRow, started: StartedRun, now: Instant) {
+        val step = stepOf(task.name) ?: return
+        val executor = executors[started.executor] ?: return
+        val run = ActiveRun(started.executor, started.run, now, Duration.ZERO, RunPhase.Inherited)
+        val team = step.job.job.team
+        executor.abandoned[task.name] = AbandonedRun(run, step.step, team)
+        executor.used += step.step.reserved
+        team?.let { teamUse.merge(it, step.step.request, Resources::plus) }
+        task.abandoned = started
+    }
+
+    /** The abandoned run of a task on [executor] does not exist any more. */
+    fun dropAbandoned(executor: ExecutorRow, name: TaskName) {
+        val abandoned = executor.abandoned.remove(name) ?: return
+        executor.used -= abandoned.step.reserved
+        abandoned.team?.let { teamUse[it] = (teamUse[it] ?: Resources.None) - abandoned.step.request }
+        task(name)?.let {
+            it.abandoned = null
+            changed += name.job
+        }
+    }
+
     /** Lets the task wait for room again, unless its job has ended. */
     fun requeue(task: TaskRow, now: Instant, notBefore: Instant) {
         val step = stepOf(task.name) ?: return
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetView.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetView.kt
@@ -140,7 +140,7 @@
         row.reachable,
         row.usable(now),
         row.listedAt != null || !row.reachable,
-        batch.size,
+        batch.size + row.abandoned.size,
         long.size,
     )
 }
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Job.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Job.kt
@@ -132,6 +132,7 @@
  * @property failures numbers of the failed runs per task; tasks without failures are absent
  * @property checkpoints newest checkpoint per task that is not running
  * @property started runs that exist or may exist
+ * @property abandoned runs that may exist beside the one in [started], of speculative tasks
  */
 public data class JobProgress(
     public val state: JobState = JobState.Queued,
@@ -139,6 +140,7 @@
     public val failures: Map<TaskPosition, Set<Long>> = emptyMap(),
     public val checkpoints: Map<TaskPosition, String> = emptyMap(),
     public val started: Map<TaskPosition, StartedRun> = emptyMap(),
+    public val abandoned: Map<TaskPosition, StartedRun> = emptyMap(),
 )
 
 /** A run whose start was ordered, or is about to be. */
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobRows.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobRows.kt
@@ -50,6 +50,7 @@
     var readySince: Instant = Instant.DISTANT_PAST,
     var lastRun: Long = 0,
     var lastFailedOn: ExecutorIdentifier? = null,
+    var abandoned: StartedRun? = null,
 )
 
 /** A step of one occurrence of a job. Identity matters, not content. */
@@ -106,15 +107,17 @@
         val completed = mutableSetOf<TaskPosition>()
         val failures = mutableMapOf<TaskPosition, Set<Long>>()
         val started = mutableMapOf<TaskPosition, StartedRun>()
+        val abandoned = mutableMapOf<TaskPosition, StartedRun>()
         val checkpoints = mutableMapOf<TaskPosition, String>()
         for (row in allTasks()) {
             val position = TaskPosition(row.name.occurrence, row.name.step, row.name.index)
             row.active?.let { started[position] = StartedRun(it.executor, it.run) }
+            row.abandoned?.let { abandoned[position] = it }
             if (ended) continue
             if (row.phase == TaskPhase.Done) completed += position
             if (row.failedRuns.isNotEmpty()) failures[position] = row.failedRuns
             if (row.checkpoint.isNotEmpty() && row.phase != TaskPhase.Done) checkpoints[position] = row.checkpoint
         }
-        return JobProgress(state, completed, failures, checkpoints, started)
+        return JobProgress(state, completed, failures, checkpoints, started, abandoned)
     }
 }
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobTransitions.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobTransitions.kt
@@ -30,12 +30,14 @@
     }
 
     private fun restore(row: JobRow, progress: JobProgress, now: Instant) {
-        val positions = progress.completed + progress.failures.keys + progress.started.keys
+        val positions =
+            progress.completed + progress.failures.keys + progress.started.keys + progress.abandoned.keys
         positions.mapTo(mutableSetOf()) { it.occurrence }.forEach { createOccurrence(row, it) }
         for (task in row.allTasks()) {
             val position = TaskPosition(task.name.occurrence, task.name.step, task.name.index)
             if (position in progress.completed) task.phase = TaskPhase.Done
             progress.started[position]?.let { inherit(task, it, now) }
+            progress.abandoned[position]?.let { tables.inheritAbandoned(task, it, now) }
             if (row.ended && task.active != null) tables.stopsWanted[task.name] = StopReason.JobEnded
             task.failedRuns = progress.failures[position].orEmpty()
             task.lastRun = maxOf(task.lastRun, task.failedRuns.maxOrNull() ?: 0)
@@ -151,7 +153,7 @@
         val old =
             tables.jobs.values.filter { row ->
                 row.endedAt?.let { it + policy.knownJobsRetention < now } == true &&
-                    row.allTasks().none { it.active != null }
+                    row.allTasks().none { it.active != null || it.abandoned != null }
             }
         old.forEach { tables.jobs -= it.job.identifier }
         val oldBefore = endedBefore.filterValues { it + policy.knownJobsRetention < now }.keys.toList()
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ListingProcessor.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ListingProcessor.kt
@@ -27,6 +27,16 @@
         listing.ended.sortedBy { it.number }.forEach { if (it.number > executor.processedEnd) end(executor, it, now) }
         listing.running.forEach { run(executor, it, now) }
         removeMissing(executor, listing, requestedAt, now)
+        settleAbandoned(executor, listing, requestedAt)
+    }
+
+    /** Forgets abandoned runs that are not listed; listed ones were adopted or are being stopped. */
+    private fun settleAbandoned(executor: ExecutorRow, listing: ExecutorListing, requestedAt: Instant) {
+        val listed = listing.running.associate { it.task to it.run }
+        for ((name, abandoned) in executor.abandoned.toList()) {
+            val gone = listed[name] != abandoned.run.run && isMissing(abandoned.run, listing, requestedAt)
+            if (gone) tables.dropAbandoned(executor, name)
+        }
     }
 
     /** The executor started again: what ran before is gone, and nothing of it is listed as ended. */
@@ -55,6 +65,9 @@
             tables.release(task)
             tables.requeue(task, now, now)
         }
+        executor.abandoned.keys
+            .toList()
+            .forEach { tables.dropAbandoned(executor, it) }
         executor.runs.clear()
         executor.used = Resources.None
         executor.longRuns = 0
@@ -142,7 +155,10 @@
         }
         val active = task.active
         when {
-            active == null -> adopt(executor, task, listed, now)
+            active == null -> {
+                tables.dropAbandoned(executor, task.name)
+                adopt(executor, task, listed, now)
+            }
             active.executor == executor.identifier && active.run == listed.run -> update(active, listed, now)
             active.executor == executor.identifier && active.run < listed.run -> {
                 tables.release(task)
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
@@ -23,6 +23,7 @@
     private val stops = StopPlanner(tables, listings, policy)
     private val starts = StartPlanner(tables, policy, nextRun)
     private val pace = PaceController(tables)
+    private val copies = SpeculativeCopies(tables)
     private val arrivals = ArrivalMeter()
     private val beyondEntitlement = mutableSetOf<JobIdentifier>()
 
@@ -117,7 +118,7 @@
 
     private fun dropVanished() {
         tables.executors.values
-            .filter { it.vanished && !it.reachable && it.runs.isEmpty() }
+            .filter { it.vanished && !it.reachable && !it.mayHoldRuns }
             .forEach { tables.dropExecutor(it.identifier) }
     }
 
@@ -132,7 +133,7 @@
     /** Keeps new work from [executor] for a move; returns `false` if something runs there. */
     public fun reserveForMove(executor: ExecutorIdentifier): Boolean {
         val row = tables.executors[executor] ?: return true
-        if (row.runs.isNotEmpty()) return false
+        if (row.mayHoldRuns) return false
         row.retiring = true
         return true
     }
@@ -163,7 +164,7 @@
             deadline,
             row.durableEnd,
             waiting,
-            row.runs.isNotEmpty() || row.listedAt == null,
+            row.mayHoldRuns || row.listedAt == null,
             executor in tables.zones.probes,
         )
     }
@@ -236,6 +237,7 @@
             }
         }
         val inputs = PlanInputs(now, wall, evacuated + tables.zones.silent, beyondEntitlement)
+        copies.plan(now)
         starts.plan(inputs)
         val orders = stops.plan(now) + pace.plan(now)
         return SchedulerPlan(orders, starts.adviceWanted.toList(), probes, takeEvents())
@@ -252,7 +254,7 @@
     /** Lets the tasks wait again whose executor has not answered until every grant that it may have has ended. */
     private fun expireGrants(now: Instant) {
         for (row in tables.executors.values) {
-            if (row.reachable || row.runs.isEmpty()) continue
+            if (row.reachable || !row.mayHoldRuns) continue
             val expiry = row.reaches(row.grantedUntil, policy.clockError) + policy.expiryMargin
             if (maxOf(expiry, settledAt) > now) continue
             tables.events += SchedulerEvent(null, row.identifier, "grants expired runs=${row.runs.size}")
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ZoneContact.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ZoneContact.kt
@@ -36,6 +36,10 @@
     val emptySince: Map<String, Instant> = emptyMap(),
 )
 
+/** Tells whether an answer of [executor] is overdue. */
+internal fun isOverdue(executor: ExecutorRow, now: Instant): Boolean =
+    executor.unansweredSince?.let { now - it >= answerTime } == true
+
 /** Judges the zones of [executors] by what was asked and answered until [now], after [previous]. */
 internal fun zoneContact(executors: Collection<ExecutorRow>, previous: ZoneContact, now: Instant): ZoneContact {
     val known = executors.mapTo(mutableSetOf()) { it.report.zone }
@@ -47,7 +51,7 @@
     val probes = mutableSetOf<ExecutorIdentifier>()
     for ((zone, rows) in executors.groupBy { it.report.zone }) {
         if (rows.none { it.reachable }) silent += zone
-        val overdue = rows.filter { row -> row.unansweredSince?.let { now - it >= answerTime } == true }
+        val overdue = rows.filter { isOverdue(it, now) }
         val doubtedAt = overdue.mapNotNull { it.unansweredSince }.maxOrNull() ?: continue
         val quiet = rows.filter { row -> row.listedAt?.let { it < doubtedAt } != false }
         quiet.filter { it.unansweredSince == null }.mapTo(probes) { it.identifier }
--- /dev/null
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SpeculativeCopiesTest.kt
@@ -0,0 +1,148 @@
+package dogwoodgrade.scheduling
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/** A task of a speculative step whose executor stops answering. */
+class SpeculativeCopiesTest {
+    private var now = Instant.fromEpochMilliseconds(1_000_000_000)
+    private var runs = 0L
+    private val forever = now + 1000.seconds
+    private val first = report("x1")
+    private val second = report("x2")
+    private val scheduler = scheduler()
+
+    private fun report(name: String) =
+        ExecutorReport(
+            ExecutorIdentifier(name),
+            1,
+            "pool",
+            "10.0.0.1:80",
+            "zone-$name",
+            false,
+            Resources(2_000, 64_000),
+            listOf("kind", "rack-1"),
+        )
+
+    private fun scheduler(cap: Long = 0): Scheduler {
+        val scheduler = Scheduler(SchedulingPolicy()) { ++runs }
+        val queue = QueueSettings("queue", "pool", 0, 3, 2.0, 500.milliseconds, false)
+        val pool = PoolSettings("pool", executorsGuardCapacity = true, standby = false)
+        val team = TeamSettings("team", 10.0, Resources(cap, 0))
+        scheduler.configure(
+            SchedulingConfiguration(1, mapOf("queue" to queue), mapOf("pool" to pool), mapOf("team" to team)),
+        )
+        scheduler.executorsReported(listOf(first, second), now)
+        listOf(first, second).forEach { list(scheduler, it) }
+        scheduler.takeChanges(now)?.let { scheduler.durable(it, forever, now) }
+        return scheduler
+    }
+
+    private fun list(scheduler: Scheduler, report: ExecutorReport, vararg running: ListedRun) =
+        list(scheduler, report, running.toList(), emptyList())
+
+    private fun list(
+        scheduler: Scheduler,
+        report: ExecutorReport,
+        running: List<ListedRun>,
+        ended: List<ListedEnd>,
+        clock: Duration = 100.seconds,
+    ) = scheduler.listed(report.identifier, ExecutorListing(1, clock, running, ended), now, now)
+
+    private fun submit(scheduler: Scheduler, speculative: Boolean) {
+        val job = chainJob("j", now, 1)
+        scheduler.accept(job.copy(steps = job.steps.map { it.copy(speculative = speculative) }), null, now, now)
+    }
+
+    private fun starts(scheduler: Scheduler): List<Order.Start> {
+        scheduler.plan(now, now, forever, emptySet())
+        return scheduler.takeChanges(now)?.let { scheduler.durable(it, forever, now) }.orEmpty()
+    }
+
+    /** Starts the job and lets its executor fall silent. */
+    private fun startAndSilence(scheduler: Scheduler, speculative: Boolean = true): Order.Start {
+        submit(scheduler, speculative)
+        val start = starts(scheduler).single()
+        scheduler.startAnswered(start, StartOutcome.Started(100.seconds), now)
+        scheduler.asked(start.executor, now)
+        now += 1.seconds
+        list(scheduler, other(start))
+        return start
+    }
+
+    private fun other(start: Order.Start) = if (start.executor == first.identifier) second else first
+
+    private fun same(start: Order.Start) = if (start.executor == first.identifier) first else second
+
+    @Test
+    fun `a copy starts elsewhere once the answer is overdue`() {
+        val start = startAndSilence(scheduler)
+        val copy = starts(scheduler).single()
+        assertEquals(other(start).identifier, copy.executor)
+        assertTrue(copy.run > start.run)
+    }
+
+    /** Guards against two runs of a task that must not run twice. */
+    @Test
+    fun `a task that is not speculative waits`() {
+        startAndSilence(scheduler, speculative = false)
+        assertEquals(emptyList(), starts(scheduler))
+    }
+
+    @Test
+    fun `the first of two copies completes the task and the other is stopped`() {
+        val start = startAndSilence(scheduler)
+        val copy = starts(scheduler).single()
+        scheduler.startAnswered(copy, StartOutcome.Started(100.seconds), now)
+        now += 100.milliseconds
+        list(scheduler, same(start), emptyList(), listOf(ListedEnd(1, start.task, start.run, RunEnding.Done, "")))
+        assertEquals(JobState.Completed, scheduler.state(start.task.job))
+        val stop = scheduler
+            .plan(now, now, forever, emptySet())
+            .orders
+            .filterIsInstance<Order.Stop>()
+            .single()
+        assertEquals(copy.executor, stop.executor)
+    }
+
+    @Test
+    fun `a copy that is not needed any more is stopped at the executor that answers again`() {
+        val start = startAndSilence(scheduler)
+        val copy = starts(scheduler).single()
+        scheduler.startAnswered(copy, StartOutcome.Started(100.seconds), now)
+        now += 100.milliseconds
+        list(scheduler, same(start), ListedRun(start.task, start.run, "", 50, 0.0))
+        val stop = scheduler
+            .plan(now, now, forever, emptySet())
+            .orders
+            .filterIsInstance<Order.Stop>()
+            .single()
+        assertEquals(start.run, stop.run)
+    }
+
+    /** Guards against a team beyond its cap: the run that may still exist counts. */
+    @Test
+    fun `an abandoned run counts against the cap until its executor answers`() {
+        val capped = scheduler(cap = 2_000)
+        val start = startAndSilence(capped)
+        assertEquals(emptyList(), starts(capped))
+        now += 100.milliseconds
+        list(capped, same(start))
+        assertEquals(1, starts(capped).size)
+    }
+
+    /** Guards against a new owner that does not know of the run that may still exist. */
+    @Test
+    fun `an abandoned run is durable and counts for the next owner`() {
+        val start = startAndSilence(scheduler)
+        scheduler.plan(now, now, forever, emptySet())
+        val progress = checkNotNull(scheduler.takeChanges(now)).progress.getValue(start.task.job)
+        assertEquals(StartedRun(start.executor, start.run), progress.abandoned[TaskPosition(0, 0, 0)])
+        assertTrue(progress.started.getValue(TaskPosition(0, 0, 0)).run > start.run)
+    }
+}
