--- a/capacity/src/main/kotlin/dogwoodgrade/capacity/PoolSizing.kt
+++ b/capacity/src/main/kotlin/dogwoodgrade/capacity/PoolSizing.kt
@@ -26,7 +26,7 @@
     public val idleHeadroom: Double = 1.25,
     public val growthAt: Double = 0.6,
     public val growthFactor: Double = 1.15,
-    public val earlyGrowthFactor: Double = 2.5,
+    public val earlyGrowthFactor: Double = 1.5,
     public val arrivalFactor: Double = 1.1,
     public val waitingShare: Double = 0.6,
     public val surplusTime: Duration = 1200.milliseconds,
