Send idle machines of evacuated zones to standby

Change: idle machines of evacuated zones go to standby at once and are taken by no other pool meanwhile.

--- a/capacity/src/main/kotlin/dogwoodgrade/capacity/PoolSizing.kt
+++ b/capacity/src/main/kotlin/dogwoodgrade/capacity/PoolSizing.kt
@@ -56,11 +56,13 @@
  *
  * @property usable its executor takes work now, or will once the machine has moved
  * @property movable nothing runs on it, and no other order for it is under way
+ * @property evacuated nothing may start in its zone
  */
 public data class SizedMachine(
     public val machine: Machine,
     public val usable: Boolean,
     public val movable: Boolean,
+    public val evacuated: Boolean = false,
 )
 
 /** An order to move a machine. */
@@ -85,7 +87,8 @@
  * Decides which machines move between pools and standby.
  *
  * The pool that has the smallest part of what its work needs is served first; pools that only lack machines up to their
- * smallest size come last. It takes machines from standby, then from pools that have more than they need. Surplus machines go to standby after a while.
+ * smallest size come last. It takes machines from standby, then from pools that have more than they need. Surplus
+ * machines go to standby after a while, those in evacuated zones at once.
  */
 public fun planPoolSizes(
     demands: List<PoolDemand>,
@@ -100,12 +103,14 @@
     val needed = active.associate { it.pool to machinesFor(it, usable[it.pool].orEmpty(), machines, policy) }
     val wanted = needed.mapValues { (_, count) -> maxOf(policy.smallestPool, count) }
     val size = active.associateTo(mutableMapOf()) { it.pool to usable[it.pool].orEmpty().size }
-    val free = machines.filter { it.movable }.toMutableList()
+    val free = machines.filter { it.movable && !it.evacuated }.toMutableList()
     val moves = grow(needed, wanted, size, free, standby, machines, policy)
     val surplus = size.filter { (pool, count) -> count > wanted.getValue(pool) }.keys
     val since = surplus.associateWith { surplusSince[it] ?: now }
     val returned = standby.firstOrNull()?.let { returns(since, free, size, wanted, it, policy, now) }.orEmpty()
-    return SizingPlan(moves + returned.take(policy.movesAtOnce - moves.size), since, wanted)
+    val evacuees = machines.filter { it.movable && it.evacuated && it.machine.pool !in standby }
+    val left = standby.firstOrNull()?.let { pool -> evacuees.map { MachineMove(it.machine, pool) } }.orEmpty()
+    return SizingPlan(moves + (left + returned).take(policy.movesAtOnce - moves.size), since, wanted)
 }
 
 /** Gives machines to the pools in need, one after the other; [size] and [free] follow. */
--- a/capacity/src/test/kotlin/dogwoodgrade/capacity/PoolSizingTest.kt
+++ b/capacity/src/test/kotlin/dogwoodgrade/capacity/PoolSizingTest.kt
@@ -60,7 +60,7 @@
     @Test
     fun `pools without work are filled up to their smallest size last`() {
         val machines = List(3) { machine("a$it", "a", movable = false) }
-        val plan = plan(listOf(demand("a", 190_000, 10_000), demand("b")), machines)
+        val plan = plan(listOf(demand("a", 190_000, 250_000), demand("b")), machines)
         assertEquals(List(5) { "a" } + List(3) { "b" }, plan.moves.map { it.pool })
     }
 
@@ -104,4 +104,15 @@
         val plan = plan(listOf(demand("a")), machines, mapOf("a" to now - 5.seconds))
         assertEquals(listOf("a"), plan.moves.map { it.machine.zone })
     }
+
+    /** Guards against machines that are paid for in a zone in which nothing may start. */
+    @Test
+    fun `idle machines of an evacuated zone go to standby and nowhere else`() {
+        val machines = List(3) { machine("a$it", "a", movable = false) }
+        val evacuated = SizedMachine(machine("e0", "b", zone = "e").machine, usable = false, movable = true, true)
+        val plan = plan(listOf(demand("a", 190_000, 10_000), demand("b")), machines + evacuated)
+        assertEquals(listOf("standby"), plan.moves.filter { it.machine.name == "e0" }.map { it.pool })
+        val none = planPoolSizes(listOf(demand("a", 0, 900_000)), listOf(evacuated), emptyMap(), policy, now)
+        assertTrue(none.moves.isEmpty())
+    }
 }
--- a/node/src/main/kotlin/dogwoodgrade/node/MachineLoop.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/MachineLoop.kt
@@ -180,25 +180,31 @@
         val standby = demands.filter { it.standby }.map { it.pool }.toSet()
         // Without the live list every machine would look lost.
         if (view.executors.isEmpty()) return
-        val sized = machines.values.map { sizedMachine(it, it.pool in standby, view, evacuated + view.silentZones) }
+        val sized = machines.values.map { sizedMachine(it, it.pool in standby, view, evacuated) }
         val plan = planPoolSizes(demands, sized, surplusSince, sizing, now)
         surplusSince = plan.surplusSince
         move(client, plan)
     }
 
-    private fun sizedMachine(machine: Machine, standby: Boolean, view: FleetView, avoided: Set<String>): SizedMachine {
+    private fun sizedMachine(
+        machine: Machine,
+        standby: Boolean,
+        view: FleetView,
+        evacuatedZones: Set<String>,
+    ): SizedMachine {
         val load = machine.executor?.let { view.executors[it] }
-        val available = machine.zone !in avoided && machine.name !in emptying
+        val evacuated = machine.zone in evacuatedZones
+        val available = machine.zone !in view.silentZones && machine.name !in emptying
         val movedAt = moved[machine.name]
         // Standby machines have no executor that could join.
         val arriving = movedAt != null && (clock.now() - movedAt < settings.moveTime || !standby && load == null)
         val coming = machine.state == MachineState.Moving || arriving
         // An executor that should have joined the live list by now is cut off or lost.
-        val usable = available && (coming || machine.state == MachineState.Up && load?.usable == true)
+        val usable = available && !evacuated && (coming || machine.state == MachineState.Up && load?.usable == true)
         val idle =
             load == null && standby || load != null && load.batchRuns == 0 && load.longRuns == 0 && !load.draining
         val movable = available && !coming && machine.state == MachineState.Up && idle
-        return SizedMachine(machine, usable, movable)
+        return SizedMachine(machine, usable, movable, evacuated)
     }
 
     /** Orders all moves at once: one after the other, the last of a burst would wait for the answers to the others. */
