--- a/capacity/src/main/kotlin/dogwoodgrade/capacity/PoolSizing.kt
+++ b/capacity/src/main/kotlin/dogwoodgrade/capacity/PoolSizing.kt
@@ -9,8 +9,8 @@
 /**
  * Figures that pools are sized with.
  *
- * @property smallestPool machines that every pool keeps, in two zones if possible; a burst is served by them until others
- * have come
+ * @property smallestPool machines that every pool keeps, in several zones if possible; a burst is served by them until
+ * others have come
  * @property idleHeadroom factor on the demand of a calm pool
  * @property growthAt use of a pool's room above which a burst is assumed
  * @property growthFactor factor on the demand of a pool in a burst, which goes on rising while machines move
--- a/node/src/main/kotlin/dogwoodgrade/node/JobIntake.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/JobIntake.kt
@@ -97,11 +97,7 @@
         while (true) {
             val sentAt = clock.now()
             val outcome = store.append(Topic.Jobs, records, identity)
-            contact.observed(
-                outcome !is AppendOutcome.Unknown && outcome !is AppendOutcome.NotDone,
-                sentAt,
-                clock.now(),
-            )
+            contact.observed(outcome.answered, sentAt, clock.now())
             when (outcome) {
                 is AppendOutcome.Appended -> {
                     sequence++
--- a/node/src/main/kotlin/dogwoodgrade/node/MachineLoop.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/MachineLoop.kt
@@ -19,6 +19,7 @@
 import dogwoodgrade.platform.Topic
 import dogwoodgrade.platform.waveStatus
 import dogwoodgrade.scheduling.ExecutorIdentifier
+import dogwoodgrade.scheduling.ExecutorLoad
 import dogwoodgrade.scheduling.FleetView
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.async
@@ -176,7 +177,16 @@
         val now = clock.now()
         val evacuated = node.configuration.evacuatedZones()
         moved.values.removeIf { now - it > settings.moveTime + joinTime }
-        val demands = view.pools.values.map { PoolDemand(it.pool, it.inUse, it.waiting, it.arriving, it.spread, it.standby) }
+        val demands = view.pools.values.map {
+            PoolDemand(
+                it.pool,
+                it.inUse,
+                it.waiting,
+                it.arriving,
+                it.spread,
+                it.standby,
+            )
+        }
         val standby = demands.filter { it.standby }.map { it.pool }.toSet()
         // Without the live list every machine would look lost.
         if (view.executors.isEmpty()) return
@@ -195,10 +205,7 @@
         val load = machine.executor?.let { view.executors[it] }
         val evacuated = machine.zone in evacuatedZones
         val available = machine.zone !in view.silentZones && machine.name !in emptying
-        val movedAt = moved[machine.name]
-        // Standby machines have no executor that could join.
-        val arriving = movedAt != null && (clock.now() - movedAt < settings.moveTime || !standby && load == null)
-        val coming = machine.state == MachineState.Moving || arriving
+        val coming = isComing(machine, standby, load)
         // An executor that should have joined the live list by now is cut off or lost.
         val usable = available && !evacuated && (coming || machine.state == MachineState.Up && load?.usable == true)
         val idle =
@@ -207,6 +214,13 @@
         return SizedMachine(machine, usable, movable, evacuated)
     }
 
+    /** Tells whether a machine is on its way to its pool. Standby machines have no executor that could join. */
+    private fun isComing(machine: Machine, standby: Boolean, load: ExecutorLoad?): Boolean {
+        val movedAt = moved[machine.name]
+        val joining = movedAt != null && (clock.now() - movedAt < settings.moveTime || !standby && load == null)
+        return machine.state == MachineState.Moving || joining
+    }
+
     /** Orders all moves at once: one after the other, the last of a burst would wait for the answers to the others. */
     private suspend fun move(client: MachinesClient, plan: SizingPlan) =
         coroutineScope {
--- a/node/src/main/kotlin/dogwoodgrade/node/OwnerWriter.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnerWriter.kt
@@ -137,11 +137,7 @@
         while (true) {
             val sentAt = clock.now()
             val outcome = store.append(Topic.Progress, records, producer)
-            contact.observed(
-                outcome !is AppendOutcome.Unknown && outcome !is AppendOutcome.NotDone,
-                sentAt,
-                clock.now(),
-            )
+            contact.observed(outcome.answered, sentAt, clock.now())
             when (outcome) {
                 is AppendOutcome.Appended -> {
                     sequence++
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ArrivalMeter.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ArrivalMeter.kt
@@ -7,15 +7,15 @@
 import kotlin.time.Instant
 
 /**
- * Time constant of the measured rates. A machine needs about two seconds to join a pool, so that a longer one would show
- * a burst too late; a shorter one would take a single job for a burst.
+ * Time constant of the measured rates. A machine needs about two seconds to join a pool, so that a longer one would
+ * show a burst too late; a shorter one would take a single job for a burst.
  */
 private val averagingTime: Duration = 1.seconds
 
 /** Time constant of the rates that the others are compared with to see a trend. */
 private val trendTime: Duration = 3.seconds
 
-/** How far ahead of the measured rate its trend is followed: the lag of the rate and the time a machine needs to join. */
+/** How far ahead of the measured rate a rise is followed: the lag of the rate and the time a machine needs to join. */
 private val forecastTime: Duration = 3.seconds
 
 /** Jobs within the averaging time below which there is no trend; one large job looks like the beginning of a burst. */
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Configuration.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Configuration.kt
@@ -24,12 +24,10 @@
 /**
  * A pool of executors.
  *
- * @property executorsGuardCapacity executors reject what does not fit, instead of starting it
  * @property standby its machines are switched off
  */
 public data class PoolSettings(
     public val name: String,
-    public val executorsGuardCapacity: Boolean,
     public val standby: Boolean,
 )
 
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ZoneContact.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ZoneContact.kt
@@ -15,8 +15,8 @@
 private const val OVERDUE_IN_SILENT_ZONE: Int = 2
 
 /**
- * Time for which a silent zone that has lost its last known executor still counts as silent. Executors of a zone that is
- * cut off lapse from the live list after some seconds, and come back to it within two seconds of their return.
+ * Time for which a silent zone that has lost its last known executor still counts as silent. Executors of a zone that
+ * is cut off lapse from the live list after some seconds, and come back to it within two seconds of their return.
  */
 private val emptyZoneTime: Duration = 5.seconds
 
--- a/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SchedulerTest.kt
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SchedulerTest.kt
@@ -35,7 +35,7 @@
             SchedulingConfiguration(
                 1,
                 mapOf("queue" to queue),
-                mapOf("pool" to PoolSettings("pool", executorsGuardCapacity = true, standby = false)),
+                mapOf("pool" to PoolSettings("pool", standby = false)),
                 mapOf("team" to TeamSettings("team", 10.0, Resources(cap, 0))),
             ),
         )
--- a/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SimulatedFleet.kt
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SimulatedFleet.kt
@@ -67,7 +67,7 @@
     private fun owner(settledAt: Instant): Scheduler {
         val scheduler = Scheduler(policy) { ++runs }
         val queue = QueueSettings("queue", "pool", 0, 4, 2.0, 500.milliseconds, false)
-        val pool = PoolSettings("pool", executorsGuardCapacity = true, standby = false)
+        val pool = PoolSettings("pool", standby = false)
         val team = TeamSettings("team", 10.0, Resources(40_000, 0))
         scheduler.configure(
             SchedulingConfiguration(1, mapOf("queue" to queue), mapOf("pool" to pool), mapOf("team" to team)),
--- a/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SpeculativeCopiesTest.kt
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SpeculativeCopiesTest.kt
@@ -32,7 +32,7 @@
     private fun scheduler(cap: Long = 0): Scheduler {
         val scheduler = Scheduler(SchedulingPolicy()) { ++runs }
         val queue = QueueSettings("queue", "pool", 0, 3, 2.0, 500.milliseconds, false)
-        val pool = PoolSettings("pool", executorsGuardCapacity = true, standby = false)
+        val pool = PoolSettings("pool", standby = false)
         val team = TeamSettings("team", 10.0, Resources(cap, 0))
         scheduler.configure(
             SchedulingConfiguration(1, mapOf("queue" to queue), mapOf("pool" to pool), mapOf("team" to team)),
