--- a/capacity/src/main/kotlin/dogwoodgrade/capacity/MaintenancePlan.kt
+++ b/capacity/src/main/kotlin/dogwoodgrade/capacity/MaintenancePlan.kt
@@ -40,12 +40,10 @@
  *
  * @property batchRuns runs that end by themselves
  * @property longRuns runs that have to be moved before
- * @property reachable the executor answers
  */
 public data class MachineLoad(
     public val batchRuns: Int,
     public val longRuns: Int,
-    public val reachable: Boolean,
 )
 
 /**
--- a/capacity/src/test/kotlin/dogwoodgrade/capacity/MaintenancePlanTest.kt
+++ b/capacity/src/test/kotlin/dogwoodgrade/capacity/MaintenancePlanTest.kt
@@ -10,7 +10,7 @@
 
 class MaintenancePlanTest {
     private val now = Instant.fromEpochMilliseconds(1_000_000)
-    private val idle = MachineLoad(0, 0, true)
+    private val idle = MachineLoad(0, 0)
 
     private fun machines(count: Int, pool: String = "pool", state: MachineState = MachineState.Up) =
         (0 until count).associate { "m$it" to Machine("m$it", pool, state, "zone", ExecutorIdentifier("x$it")) }
@@ -59,7 +59,7 @@
     @Test
     fun `a machine with long-running tasks is emptied before its maintenance`() {
         val machines = machines(3)
-        val decision = plan(progress(machines.keys, 1), machines, MachineLoad(0, 2, true))
+        val decision = plan(progress(machines.keys, 1), machines, MachineLoad(0, 2))
         assertEquals(1, decision.empty.size)
         assertTrue(decision.maintain.isEmpty())
     }
@@ -67,7 +67,7 @@
     @Test
     fun `batch runs are waited for until the wave has to hurry`() {
         val machines = machines(3)
-        val busy = MachineLoad(2, 0, true)
+        val busy = MachineLoad(2, 0)
         assertTrue(plan(progress(machines.keys, 1), machines, busy).maintain.isEmpty())
         assertEquals(1, plan(progress(machines.keys, 1), machines, busy, at = now + 20.seconds).maintain.size)
     }
--- a/node/src/main/kotlin/dogwoodgrade/node/JobIntake.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/JobIntake.kt
@@ -1,13 +1,11 @@
 package dogwoodgrade.node
 
-import dogwoodgrade.platform.AppendOutcome
 import dogwoodgrade.platform.Producer
 import dogwoodgrade.platform.StoreClient
 import dogwoodgrade.platform.Topic
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.channels.Channel
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.time.Duration
@@ -57,11 +55,12 @@
  * under the same sequence number until its outcome is known, so that a refusal is always true.
  */
 internal class JobIntake(
-    private val store: StoreClient,
+    store: StoreClient,
     private val producer: String,
-    private val clock: NodeClock,
-    private val contact: StoreContact,
+    clock: NodeClock,
+    contact: StoreContact,
 ) {
+    private val appends = RepeatedAppend(store, contact, clock, attemptPause, REFUSED_ATTEMPTS)
     private val queue = Channel<IntakeItem>(WAITING_RECORDS)
     private var sequence = 0L
 
@@ -91,29 +90,18 @@
 
     private suspend fun appendBatch(batch: List<IntakeItem>) {
         val records = batch.map { it.key to it.value }
-        val identity = Producer(producer, 1, sequence + 1)
-        var uncertain = false
-        var refused = 0
-        while (true) {
-            val sentAt = clock.now()
-            val outcome = store.append(Topic.Jobs, records, identity)
-            contact.observed(outcome.answered, sentAt, clock.now())
-            when (outcome) {
-                is AppendOutcome.Appended -> {
+        val outcome =
+            when (val known = appends.append(Topic.Jobs, records, Producer(producer, 1, sequence + 1))) {
+                is KnownOutcome.Durable -> {
                     sequence++
-                    batch.forEach { it.outcome.complete(IntakeOutcome.Durable) }
-                    return
+                    IntakeOutcome.Durable
                 }
-                is AppendOutcome.Unknown -> uncertain = true
-                is AppendOutcome.EndMoved, AppendOutcome.Fenced -> error("unconditional append was $outcome")
-                is AppendOutcome.NotDone -> refused++
-            }
-            if (!uncertain && refused >= REFUSED_ATTEMPTS) {
-                logger.warn { "intake: append refused records=${batch.size} outcome=$outcome" }
-                batch.forEach { it.outcome.complete(IntakeOutcome.NotDone) }
-                return
+                is KnownOutcome.Refused -> {
+                    logger.warn { "intake: append refused records=${batch.size} outcome=${known.last}" }
+                    IntakeOutcome.NotDone
+                }
+                KnownOutcome.Fenced -> error("append of a producer of its own was $known")
             }
-            delay(attemptPause)
-        }
+        batch.forEach { it.outcome.complete(outcome) }
     }
 }
--- a/node/src/main/kotlin/dogwoodgrade/node/JobTable.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/JobTable.kt
@@ -5,7 +5,6 @@
 import dogwoodgrade.scheduling.JobIdentifier
 import dogwoodgrade.scheduling.JobProgress
 import dogwoodgrade.scheduling.JobState
-import kotlin.time.Instant
 
 /**
  * What the log says about one job.
@@ -35,8 +34,7 @@
     val state: JobState
         get() {
             val recorded = progress?.state ?: JobState.Queued
-            val ended = recorded == JobState.Completed || recorded == JobState.Failed
-            return if (cancelled && !ended) JobState.Cancelled else recorded
+            return if (cancelled && !recorded.ended) JobState.Cancelled else recorded
         }
 }
 
@@ -47,7 +45,7 @@
  */
 internal class JobTable {
     private val jobs = mutableMapOf<JobIdentifier, KnownJob>()
-    private var readAt: Instant = Instant.DISTANT_PAST
+    private var everComplete = false
     private var nextOffset = 0L
 
     /** Applies a record of the jobs' topic. The first record of a job counts, repeated ones change nothing. */
@@ -109,20 +107,20 @@
         jobs[identifier] = (jobs[identifier] ?: KnownJob()).copy(cancelled = true)
     }
 
-    /** Records how far the jobs' topic was read, and that there was no more of it at [sentAt]. */
+    /** Records how far the jobs' topic was read, and whether there was no more of it. */
     @Synchronized
-    fun read(nextOffset: Long, reachedEnd: Boolean, sentAt: Instant) {
+    fun read(nextOffset: Long, reachedEnd: Boolean) {
         this.nextOffset = nextOffset
-        if (reachedEnd) readAt = maxOf(readAt, sentAt)
+        if (reachedEnd) everComplete = true
     }
 
     /** Offset up to which the jobs' topic was read. */
     @Synchronized
     fun readTo(): Long = nextOffset
 
-    /** Latest time at which the table had all that was in the topic, or the distant past. */
+    /** Whether the table has had all that was in the topic at some time. */
     @Synchronized
-    fun completeAt(): Instant = readAt
+    fun everComplete(): Boolean = everComplete
 
     @Synchronized
     operator fun get(identifier: JobIdentifier): KnownJob? = jobs[identifier]?.takeIf { it.job != null }
@@ -139,7 +137,7 @@
     private fun isOver(known: KnownJob): Boolean {
         val progress = known.progress ?: return false
         val running = progress.started.isNotEmpty() || progress.abandoned.isNotEmpty()
-        return !running && progress.state != JobState.Queued && progress.state != JobState.Active
+        return !running && progress.state.ended
     }
 
     /** Number of jobs of [queue] that no task has been started of. */
--- a/node/src/main/kotlin/dogwoodgrade/node/LogConfigurator.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/LogConfigurator.kt
@@ -20,7 +20,7 @@
  * Configures the log: one line per event on standard output, written by a thread of its own.
  *
  * Lines are dropped rather than letting the program wait for its log. The service loader finds this class; reading a
- * configuration file instead takes a quarter of the program's start.
+ * configuration file instead lengthens the program's start.
  */
 public class LogConfigurator :
     ContextAwareBase(),
--- a/node/src/main/kotlin/dogwoodgrade/node/MachineLoop.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/MachineLoop.kt
@@ -91,8 +91,7 @@
     private suspend fun awaitExecutors() {
         repeat((longestFirstWait / firstPause).toInt()) {
             delay(firstPause)
-            val executors = fleet.withSchedule { it.fleet(clock.now(), clock.wall()) }.executors.values
-            if (executors.isNotEmpty() && executors.all { it.known }) return
+            if (fleet.withSchedule { it.executorsKnown() }) return
         }
     }
 
@@ -141,7 +140,7 @@
 
     private fun loadOf(machine: Machine, view: FleetView): MachineLoad? {
         val load = machine.executor?.let { view.executors[it] } ?: return null
-        return MachineLoad(load.batchRuns, load.longRuns, load.reachable)
+        return MachineLoad(load.batchRuns, load.longRuns)
     }
 
     private fun retire(names: Set<String>, machines: Map<String, Machine>) {
--- a/node/src/main/kotlin/dogwoodgrade/node/Node.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/Node.kt
@@ -119,7 +119,7 @@
         !stopping &&
             parts.configuration.current() != null &&
             parts.contact.alive(clock.now()) &&
-            parts.jobs.completeAt() != Instant.DISTANT_PAST
+            parts.jobs.everComplete()
 
     /** Starts to listen and to follow the log. */
     suspend fun start() {
@@ -145,7 +145,7 @@
 
     private fun jobsRead(followed: FollowedRecords) {
         followed.records.forEach { parts.jobs.applyJob(it) }
-        parts.jobs.read(followed.nextOffset, followed.reachedEnd, followed.sentAt)
+        parts.jobs.read(followed.nextOffset, followed.reachedEnd)
         val identifiers =
             followed.records.mapNotNullTo(mutableSetOf()) {
                 FleetRecords.jobOf(it.key) ?: FleetRecords.cancelledJobOf(it.key)
@@ -170,7 +170,7 @@
     private suspend fun ownInTurn() {
         while (!stopping) {
             val view = parts.ownership.view()
-            val complete = parts.jobs.completeAt() != Instant.DISTANT_PAST && parts.configuration.current() != null
+            val complete = parts.jobs.everComplete() && parts.configuration.current() != null
             val decision = if (view == null || !complete) null else decideClaim(view, candidate, policy, clock.now())
             if (decision is CandidateDecision.Claim) claim(decision)
             delay(candidatePause)
--- a/node/src/main/kotlin/dogwoodgrade/node/NodeMetrics.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/NodeMetrics.kt
@@ -36,7 +36,7 @@
             .help("Orders to executors by outcome.")
             .labelNames("order", "outcome")
             .register(registry)
-    private val startWait =
+    private val planTime =
         Histogram
             .builder()
             .name("dogwoodgrade_plan_seconds")
@@ -60,7 +60,7 @@
     }
 
     fun planned(time: Duration) {
-        startWait.observe(time.toDouble(DurationUnit.SECONDS))
+        planTime.observe(time.toDouble(DurationUnit.SECONDS))
     }
 
     fun owning(epoch: Long) {
--- a/node/src/main/kotlin/dogwoodgrade/node/OrderWorkers.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OrderWorkers.kt
@@ -69,7 +69,7 @@
     private fun record(order: Order.Start, outcome: StartOutcome) {
         val text =
             when (outcome) {
-                is StartOutcome.Started -> "started"
+                StartOutcome.Started -> "started"
                 is StartOutcome.Rejected -> outcome.reason.name
                 StartOutcome.Unknown -> "unknown"
             }
--- a/node/src/main/kotlin/dogwoodgrade/node/OwnerWriter.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnerWriter.kt
@@ -39,18 +39,19 @@
  * @param claimSequence sequence number of the claim, the first append of the epoch
  */
 internal class OwnerWriter(
-    private val store: StoreClient,
+    store: StoreClient,
     private val fleet: FleetTable,
     private val jobs: JobTable,
     private val ownership: OwnershipTable,
     private val record: OwnershipRecord,
     private val policy: OwnershipPolicy,
     private val clock: NodeClock,
-    private val contact: StoreContact,
+    contact: StoreContact,
     claimSequence: Long,
     private val onForgotten: (List<JobIdentifier>) -> Unit,
     private val onDurable: (List<Order.Start>) -> Unit,
 ) {
+    private val appends = RepeatedAppend(store, contact, clock, repeatPause)
     private val changed = Channel<Unit>(Channel.CONFLATED)
     private val others = Channel<Pair<String, ByteArray?>>(Channel.UNLIMITED)
     private var sequence = claimSequence
@@ -118,7 +119,7 @@
         if (renew) renewedAt = appended.sentAt
         ownership.own(Lease(record.epoch, appended.sentAt))
         if (batch != null) {
-            batch.progress.forEach { (job, progress) -> jobs.applyProgress(job, progress, appended.lastOffset) }
+            batch.progress.forEach { (job, progress) -> jobs.applyProgress(job, progress, appended.endOffset - 1) }
             if (batch.forgotten.isNotEmpty()) onForgotten(batch.forgotten)
         }
         val starts = if (batch == null) emptyList() else startsAfter(batch)
@@ -130,42 +131,21 @@
         fleet.withSchedule { it.durable(batch, ownership.ordersUntil(), clock.now()) }
 
     /** Returns the confirmed append, or `null` if another owner has taken over. */
-    private suspend fun appendUntilKnown(records: List<Pair<String, ByteArray?>>): ConfirmedAppend? {
+    private suspend fun appendUntilKnown(records: List<Pair<String, ByteArray?>>): KnownOutcome.Durable? {
         val producer = Producer(OWNER_PRODUCER, record.epoch, sequence + 1)
-        var uncertainSince: Instant? = null
         var loggedAt = Instant.DISTANT_PAST
-        while (true) {
-            val sentAt = clock.now()
-            val outcome = store.append(Topic.Progress, records, producer)
-            contact.observed(outcome.answered, sentAt, clock.now())
-            when (outcome) {
-                is AppendOutcome.Appended -> {
-                    sequence++
-                    return ConfirmedAppend(uncertainSince ?: sentAt, outcome.endOffset - 1)
-                }
-                AppendOutcome.Fenced -> return null
-                is AppendOutcome.Unknown -> {
-                    uncertainSince = uncertainSince ?: sentAt
-                    if (sentAt - loggedAt > logInterval) {
-                        loggedAt = sentAt
-                        logger.warn { "owner: append without answer records=${records.size} reason=${outcome.reason}" }
-                    }
+        val known =
+            appends.append(Topic.Progress, records, producer) { outcome, sentAt ->
+                if (outcome is AppendOutcome.NotDone) logger.debug { "owner: append refused reason=${outcome.reason}" }
+                if (outcome is AppendOutcome.Unknown && sentAt - loggedAt > logInterval) {
+                    loggedAt = sentAt
+                    logger.warn { "owner: append without answer records=${records.size} reason=${outcome.reason}" }
                 }
-                is AppendOutcome.NotDone -> logger.debug { "owner: append refused reason=${outcome.reason}" }
-                is AppendOutcome.EndMoved -> error("unconditional append was $outcome")
             }
-            delay(repeatPause)
+        return when (known) {
+            is KnownOutcome.Durable -> known.also { sequence++ }
+            KnownOutcome.Fenced -> null
+            is KnownOutcome.Refused -> error("an append that is repeated without end gave up: ${known.last}")
         }
     }
 }
-
-/**
- * An append that is confirmed.
- *
- * @property sentAt when it was first sent
- * @property lastOffset offset of its last record
- */
-private data class ConfirmedAppend(
-    val sentAt: Instant,
-    val lastOffset: Long,
-)
--- a/node/src/main/kotlin/dogwoodgrade/node/OwnershipTable.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnershipTable.kt
@@ -70,11 +70,11 @@
 
     /** When this process has to stop giving orders. */
     @Synchronized
-    fun ordersUntil(): Instant =
-        lease?.takeIf { it.confirmedAt != Instant.DISTANT_PAST }?.ordersUntil(policy) ?: Instant.DISTANT_PAST
+    fun ordersUntil(): Instant = confirmedLease()?.ordersUntil(policy) ?: Instant.DISTANT_PAST
 
     /** End of the longest grant that this process may give. */
     @Synchronized
-    fun grantsUntil(): Instant =
-        lease?.takeIf { it.confirmedAt != Instant.DISTANT_PAST }?.grantsUntil(policy) ?: Instant.DISTANT_PAST
+    fun grantsUntil(): Instant = confirmedLease()?.grantsUntil(policy) ?: Instant.DISTANT_PAST
+
+    private fun confirmedLease(): Lease? = lease?.takeIf { it.confirmedAt != Instant.DISTANT_PAST }
 }
--- a/node/src/main/kotlin/dogwoodgrade/node/TopicFollower.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/TopicFollower.kt
@@ -23,15 +23,13 @@
  *
  * @property snapshot the records are the newest of all keys, and keys that are not among them do not exist
  * @property nextOffset offset up to which the topic is known
- * @property reachedEnd the topic had no further records at [sentAt]
- * @property sentAt when the read was sent
+ * @property reachedEnd the topic had no further records when it was read
  */
 internal data class FollowedRecords(
     val records: List<KeyedRecord>,
     val snapshot: Boolean,
     val nextOffset: Long,
     val reachedEnd: Boolean,
-    val sentAt: Instant,
 )
 
 /**
@@ -70,14 +68,14 @@
                     next = null
                 }
                 is ReadOutcome.Records -> {
-                    receive(outcome, from, sentAt)
+                    receive(outcome, from)
                     delay(pause())
                 }
             }
         }
     }
 
-    private suspend fun receive(outcome: ReadOutcome.Records, from: Long?, sentAt: Instant) {
+    private suspend fun receive(outcome: ReadOutcome.Records, from: Long?) {
         if (outcome.nextOffset < known) {
             logger.warn { "follower: stale snapshot topic=$topic end=${outcome.nextOffset} known=$known" }
             delay(failurePause)
@@ -91,7 +89,6 @@
                 snapshot = from == null,
                 nextOffset = outcome.nextOffset,
                 reachedEnd = outcome.nextOffset >= outcome.endOffset,
-                sentAt = sentAt,
             ),
         )
     }
--- a/node/src/test/kotlin/dogwoodgrade/node/TablesTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/TablesTest.kt
@@ -178,7 +178,7 @@
     }
 
     private fun followed(vararg records: KeyedRecord, next: Long) =
-        FollowedRecords(records.toList(), false, next, true, now)
+        FollowedRecords(records.toList(), false, next, true)
 
     @Test
     fun `an older owner's record does not replace a newer one`() {
--- a/ownership/src/main/kotlin/dogwoodgrade/ownership/Ownership.kt
+++ b/ownership/src/main/kotlin/dogwoodgrade/ownership/Ownership.kt
@@ -24,8 +24,8 @@
 
 /** What an entry instance that is not the owner does. */
 public sealed interface CandidateDecision {
-    /** Goes on following; nothing can change before [until]. */
-    public data class Follow(public val until: Instant) : CandidateDecision
+    /** Goes on following. */
+    public data object Follow : CandidateDecision
 
     /** Takes over with [epoch], if the log still ends where it was read to. */
     public data class Claim(
@@ -57,7 +57,7 @@
     if (record.resigned) return CandidateDecision.Claim(record.epoch + 1, ClaimReason.OwnerResigned)
     val due = view.signAt + policy.suspectAfter + spread(candidate.name, record.epoch, policy)
     // Silence proves something only if the log was read until now.
-    if (now < due || now - view.readAt > policy.renewEvery) return CandidateDecision.Follow(due)
+    if (now < due || now - view.readAt > policy.renewEvery) return CandidateDecision.Follow
     return CandidateDecision.Claim(record.epoch + 1, ClaimReason.OwnerSilent)
 }
 
@@ -82,9 +82,6 @@
 
     /** Returns the end of the longest grant that the owner may give. */
     public fun grantsUntil(policy: OwnershipPolicy): Instant = confirmedAt + policy.grantsFor
-
-    /** Returns when the owner has to renew. */
-    public fun renewAt(policy: OwnershipPolicy): Instant = confirmedAt + policy.renewEvery
 }
 
 /**
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Executor.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Executor.kt
@@ -73,7 +73,7 @@
 /** Outcome of an order to start a run. */
 public sealed interface StartOutcome {
     /** The run is there. */
-    public data class Started(public val clock: Duration) : StartOutcome
+    public data object Started : StartOutcome
 
     /** The executor has done nothing and never will for this order. */
     public data class Rejected(public val reason: StartRejection) : StartOutcome
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetTables.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetTables.kt
@@ -6,7 +6,8 @@
 /**
  * Jobs, executors and what connects them. All of it is guarded by the lock of [Scheduler].
  *
- * [activate] and [release] are the only functions that change which runs exist; they keep the totals true.
+ * Only [activate], [release], [abandon], [inheritAbandoned] and [dropAbandoned] change which runs may exist; they keep
+ * the totals of executors and teams true.
  */
 internal class FleetTables {
     val jobs: MutableMap<JobIdentifier, JobRow> = linkedMapOf()
@@ -47,8 +48,7 @@
             it.used += step.step.reserved
             if (step.step.longRunning) it.longRuns++
         }
-        step.job.job.team
-            ?.let { teamUse.merge(it, step.step.request, Resources::plus) }
+        addUse(step.job.job.team, step.step.request)
         if (step.job.state == JobState.Queued) step.job.state = JobState.Active
         changed += task.name.job
     }
@@ -66,10 +66,7 @@
                 if (step.step.longRunning) it.longRuns--
             }
         }
-        if (step != null) {
-            step.job.job.team
-                ?.let { team -> teamUse[team] = (teamUse[team] ?: Resources.None) - step.step.request }
-        }
+        if (step != null) removeUse(step.job.job.team, step.step.request)
     }
 
     /** Gives [run] up without knowing that it has ended; it goes on counting. */
@@ -91,7 +88,7 @@
         val team = step.job.job.team
         executor.abandoned[task.name] = AbandonedRun(run, step.step, team)
         executor.used += step.step.reserved
-        team?.let { teamUse.merge(it, step.step.request, Resources::plus) }
+        addUse(team, step.step.request)
         task.abandoned = started
     }
 
@@ -99,13 +96,21 @@
     fun dropAbandoned(executor: ExecutorRow, name: TaskName) {
         val abandoned = executor.abandoned.remove(name) ?: return
         executor.used -= abandoned.step.reserved
-        abandoned.team?.let { teamUse[it] = (teamUse[it] ?: Resources.None) - abandoned.step.request }
+        removeUse(abandoned.team, abandoned.step.request)
         task(name)?.let {
             it.abandoned = null
             changed += name.job
         }
     }
 
+    private fun addUse(team: String?, amount: Resources) {
+        if (team != null) teamUse.merge(team, amount, Resources::plus)
+    }
+
+    private fun removeUse(team: String?, amount: Resources) {
+        if (team != null) teamUse[team] = (teamUse[team] ?: Resources.None) - amount
+    }
+
     /** Lets the task wait for room again, unless its job has ended. */
     fun requeue(task: TaskRow, now: Instant, notBefore: Instant) {
         val step = stepOf(task.name) ?: return
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetView.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetView.kt
@@ -25,18 +25,12 @@
 /**
  * What planned work on an executor's machine would interrupt.
  *
- * @property known it has answered this owner, or does not answer
  * @property batchRuns runs that end by themselves
  * @property longRuns runs that have to be moved
  */
 public data class ExecutorLoad(
-    public val identifier: ExecutorIdentifier,
-    public val pool: String,
-    public val zone: String,
     public val draining: Boolean,
-    public val reachable: Boolean,
     public val usable: Boolean,
-    public val known: Boolean,
     public val batchRuns: Int,
     public val longRuns: Int,
 )
@@ -73,7 +67,7 @@
                 tables.configuration.pools[pool]?.standby == true,
             )
         }
-    return FleetView(pools, tables.executors.mapValues { (_, row) -> loadOf(tables, row, now) }, tables.zones.silent)
+    return FleetView(pools, tables.executors.mapValues { (_, row) -> loadOf(row, now) }, tables.zones.silent)
 }
 
 /** Returns the executors that long-running steps with a limit on tasks per executor need, by pool. */
@@ -130,17 +124,10 @@
 private fun <T> Iterable<T>.sum(amount: (T) -> Resources): Resources =
     fold(Resources.None) { total, element -> total + amount(element) }
 
-private fun loadOf(tables: FleetTables, row: ExecutorRow, now: Instant): ExecutorLoad {
-    val (long, batch) = row.runs.keys.partition { tables.stepOf(it)?.step?.longRunning == true }
-    return ExecutorLoad(
-        row.identifier,
-        row.report.pool,
-        row.report.zone,
+private fun loadOf(row: ExecutorRow, now: Instant): ExecutorLoad =
+    ExecutorLoad(
         row.report.draining || row.vanished,
-        row.reachable,
         row.usable(now),
-        row.listedAt != null || !row.reachable,
-        batch.size + row.abandoned.size,
-        long.size,
+        row.runs.size - row.longRuns + row.abandoned.size,
+        row.longRuns,
     )
-}
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Job.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Job.kt
@@ -22,6 +22,10 @@
     public val step: Int,
     public val index: Int,
 ) {
+    /** The task within its job. */
+    public val position: TaskPosition
+        get() = TaskPosition(occurrence, step, index)
+
     /** The name as log lines show it: job, occurrence, step and index. */
     public val text: String
         get() = "$job/$occurrence/$step/$index"
@@ -121,7 +125,18 @@
 }
 
 /** What callers are told about a job. */
-public enum class JobState { Queued, Active, Completed, Failed, Cancelled }
+public enum class JobState {
+    Queued,
+    Active,
+    Completed,
+    Failed,
+    Cancelled,
+    ;
+
+    /** Whether nothing of the job starts any more. */
+    public val ended: Boolean
+        get() = this != Queued && this != Active
+}
 
 /**
  * What is durable of a job's execution.
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobRows.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobRows.kt
@@ -87,7 +87,7 @@
     var endedAt: Instant? = null
 
     val ended: Boolean
-        get() = state == JobState.Completed || state == JobState.Failed || state == JobState.Cancelled
+        get() = state.ended
 
     /** Tells whether a task of [occurrence] runs or has completed. */
     fun begun(occurrence: Int): Boolean =
@@ -110,7 +110,7 @@
         val abandoned = mutableMapOf<TaskPosition, StartedRun>()
         val checkpoints = mutableMapOf<TaskPosition, String>()
         for (row in allTasks()) {
-            val position = TaskPosition(row.name.occurrence, row.name.step, row.name.index)
+            val position = row.name.position
             row.active?.let { started[position] = StartedRun(it.executor, it.run) }
             row.abandoned?.let { abandoned[position] = it }
             if (ended) continue
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobTransitions.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobTransitions.kt
@@ -34,7 +34,7 @@
             progress.completed + progress.failures.keys + progress.started.keys + progress.abandoned.keys
         positions.mapTo(mutableSetOf()) { it.occurrence }.forEach { createOccurrence(row, it) }
         for (task in row.allTasks()) {
-            val position = TaskPosition(task.name.occurrence, task.name.step, task.name.index)
+            val position = task.name.position
             if (position in progress.completed) task.phase = TaskPhase.Done
             progress.started[position]?.let { inherit(task, it, now) }
             progress.abandoned[position]?.let { tables.inheritAbandoned(task, it, now) }
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ListingProcessor.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ListingProcessor.kt
@@ -26,16 +26,15 @@
         executor.listedAt = now
         listing.ended.sortedBy { it.number }.forEach { if (it.number > executor.processedEnd) end(executor, it, now) }
         listing.running.forEach { run(executor, it, now) }
-        removeMissing(executor, listing, requestedAt, now)
-        settleAbandoned(executor, listing, requestedAt)
+        val unlisted = Unlisted(listing, requestedAt)
+        removeMissing(executor, unlisted, now)
+        settleAbandoned(executor, unlisted)
     }
 
     /** Forgets abandoned runs that are not listed; listed ones were adopted or are being stopped. */
-    private fun settleAbandoned(executor: ExecutorRow, listing: ExecutorListing, requestedAt: Instant) {
-        val listed = listing.running.associate { it.task to it.run }
+    private fun settleAbandoned(executor: ExecutorRow, unlisted: Unlisted) {
         for ((name, abandoned) in executor.abandoned.toList()) {
-            val gone = listed[name] != abandoned.run.run && isMissing(abandoned.run, listing, requestedAt)
-            if (gone) tables.dropAbandoned(executor, name)
+            if (unlisted.cannotExist(name, abandoned.run)) tables.dropAbandoned(executor, name)
         }
     }
 
@@ -198,11 +197,9 @@
         strayStops += Order.Stop(executor.identifier, listed.task, listed.run, StopReason.Unknown)
     }
 
-    private fun removeMissing(executor: ExecutorRow, listing: ExecutorListing, requestedAt: Instant, now: Instant) {
-        val listed = listing.running.associate { it.task to it.run }
+    private fun removeMissing(executor: ExecutorRow, unlisted: Unlisted, now: Instant) {
         for ((name, run) in executor.runs.toList()) {
-            if (listed[name] == run.run) continue
-            if (!isMissing(run, listing, requestedAt)) continue
+            if (!unlisted.cannotExist(name, run)) continue
             val task = tables.task(name) ?: continue
             tables.events +=
                 SchedulerEvent(name.job, executor.identifier, "run missing task=${name.text} run=${run.run}")
@@ -212,28 +209,37 @@
         }
     }
 
+    private val strays = mutableMapOf<StrayRun, Instant>()
+    private val strayStops = mutableListOf<Order.Stop>()
+
+    /** Returns the stops of runs that belong to no task, once. */
+    fun takeStrayStops(now: Instant): List<Order.Stop> {
+        strays.values.removeAll { now - it > policy.startDeadline * 4 }
+        return strayStops.toList().also { strayStops.clear() }
+    }
+}
+
+/** What a response proves about runs that it does not list. */
+private class Unlisted(
+    private val listing: ExecutorListing,
+    private val requestedAt: Instant,
+) {
+    private val listed = listing.running.associate { it.task to it.run }
+
     /**
-     * Tells whether a run that is not listed cannot exist. The listing has fenced the orders of earlier owners, so that
+     * Tells whether a run is not listed and cannot exist. The listing has fenced the orders of earlier owners, so that
      * inherited runs that are not listed never start.
      */
-    private fun isMissing(run: ActiveRun, listing: ExecutorListing, requestedAt: Instant): Boolean {
+    fun cannotExist(name: TaskName, run: ActiveRun): Boolean {
         val confirmedAt = run.confirmedAt
         return when {
+            listed[name] == run.run -> false
             run.phase == RunPhase.Planned -> false
             run.phase == RunPhase.Inherited -> true
             confirmedAt != null -> requestedAt > confirmedAt
             else -> listing.clock > run.startDeadline
         }
     }
-
-    private val strays = mutableMapOf<StrayRun, Instant>()
-    private val strayStops = mutableListOf<Order.Stop>()
-
-    /** Returns the stops of runs that belong to no task, once. */
-    fun takeStrayStops(now: Instant): List<Order.Stop> {
-        strays.values.removeAll { now - it > policy.startDeadline * 4 }
-        return strayStops.toList().also { strayStops.clear() }
-    }
 }
 
 private data class StrayRun(
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Resources.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Resources.kt
@@ -18,9 +18,6 @@
     public operator fun minus(other: Resources): Resources =
         Resources(processor - other.processor, memory - other.memory, accelerators - other.accelerators)
 
-    public operator fun times(count: Int): Resources =
-        Resources(processor * count, memory * count, accelerators * count)
-
     /** Tells whether this amount is at most [available] in each dimension. */
     public fun fitsIn(available: Resources): Boolean =
         processor <= available.processor && memory <= available.memory && accelerators <= available.accelerators
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
@@ -122,6 +122,10 @@
             .forEach { tables.dropExecutor(it.identifier) }
     }
 
+    /** Tells whether there are executors and each has answered this owner, or does not answer. */
+    public fun executorsKnown(): Boolean =
+        tables.executors.isNotEmpty() && tables.executors.values.all { it.listedAt != null || !it.reachable }
+
     /** Returns the executors to ask, in no particular order. */
     public fun executors(): List<ExecutorReport> = tables.executors.values.map { it.report }
 
@@ -192,7 +196,7 @@
         val task = tables.task(order.task) ?: return
         val run = task.active?.takeIf { it.run == order.run && it.executor == order.executor } ?: return
         when (outcome) {
-            is StartOutcome.Started -> {
+            StartOutcome.Started -> {
                 if (run.confirmedAt == null) run.confirmedAt = now
                 if (run.phase == RunPhase.Starting) run.phase = RunPhase.Running
             }
--- /dev/null
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/Samples.kt
@@ -0,0 +1,12 @@
+package dogwoodgrade.scheduling
+
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Returns a configuration with one queue, one pool and one team; a [cap] of 0 means that the team has none. */
+internal fun onePoolConfiguration(attempts: Int, cap: Long = 0): SchedulingConfiguration =
+    SchedulingConfiguration(
+        1,
+        mapOf("queue" to QueueSettings("queue", "pool", 0, attempts, 2.0, 500.milliseconds, false)),
+        mapOf("pool" to PoolSettings("pool", standby = false)),
+        mapOf("team" to TeamSettings("team", 10.0, Resources(cap, 0))),
+    )
--- a/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SchedulerTest.kt
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SchedulerTest.kt
@@ -30,15 +30,7 @@
 
     private fun scheduler(vararg reports: ExecutorReport, cap: Long = 0, attempts: Int = 3): Scheduler {
         val scheduler = Scheduler(SchedulingPolicy()) { ++runs }
-        val queue = QueueSettings("queue", "pool", 0, attempts, 2.0, 500.milliseconds, false)
-        scheduler.configure(
-            SchedulingConfiguration(
-                1,
-                mapOf("queue" to queue),
-                mapOf("pool" to PoolSettings("pool", standby = false)),
-                mapOf("team" to TeamSettings("team", 10.0, Resources(cap, 0))),
-            ),
-        )
+        scheduler.configure(onePoolConfiguration(attempts, cap))
         scheduler.executorsReported(reports.toList(), now)
         reports.forEach { list(scheduler, it) }
         makeDurable(scheduler)
@@ -180,7 +172,7 @@
         scheduler.accept(job("batch", width = 2), null, now, now)
         val batch = starts(scheduler)
         assertEquals(2, batch.size)
-        batch.forEach { scheduler.startAnswered(it, StartOutcome.Started(100.seconds), now) }
+        batch.forEach { scheduler.startAnswered(it, StartOutcome.Started, now) }
         val serving = Step(1, Resources(4_000, 1_000), longRunning = true)
         scheduler.accept(job("serving", step = serving), null, now, now)
         scheduler.plan(now, now, forever, emptySet())
@@ -232,7 +224,7 @@
         val scheduler = scheduler(executor, attempts = 9)
         repeat(3) { scheduler.accept(job("a$it"), null, now, now) }
         val orders = starts(scheduler)
-        orders.forEach { scheduler.startAnswered(it, StartOutcome.Started(100.seconds), now) }
+        orders.forEach { scheduler.startAnswered(it, StartOutcome.Started, now) }
         val ends = orders.mapIndexed {
             index,
             order,
--- a/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SimulatedExecutor.kt
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SimulatedExecutor.kt
@@ -42,14 +42,14 @@
         advance(now)
         if (clock(now) > order.deadline) return StartOutcome.Rejected(StartRejection.Late)
         leaseEnd = maxOf(leaseEnd, minOf(order.deadline, clock(now) + 6.seconds))
-        if (running.any { it.task == order.task && it.run == order.run }) return StartOutcome.Started(clock(now))
+        if (running.any { it.task == order.task && it.run == order.run }) return StartOutcome.Started
         if (order.run <= (highestEnded[order.task] ?: 0)) return StartOutcome.Rejected(StartRejection.OldRun)
         val used = running.fold(Resources.None) { sum, run -> sum + run.request }
         if (!step.reserved.fitsIn(report.capacity - used)) return StartOutcome.Rejected(StartRejection.Capacity)
         val length = step.estimate * random.nextDouble(0.5, 2.0)
         val endsAt = if (step.longRunning) null else now + length
         running += Run(order.task, order.run, now, endsAt, fails || broken, step.reserved)
-        return StartOutcome.Started(clock(now))
+        return StartOutcome.Started
     }
 
     fun stop(order: Order.Stop, now: Instant) {
--- a/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SimulatedFleet.kt
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SimulatedFleet.kt
@@ -66,12 +66,7 @@
 
     private fun owner(settledAt: Instant): Scheduler {
         val scheduler = Scheduler(policy) { ++runs }
-        val queue = QueueSettings("queue", "pool", 0, 4, 2.0, 500.milliseconds, false)
-        val pool = PoolSettings("pool", standby = false)
-        val team = TeamSettings("team", 10.0, Resources(40_000, 0))
-        scheduler.configure(
-            SchedulingConfiguration(1, mapOf("queue" to queue), mapOf("pool" to pool), mapOf("team" to team)),
-        )
+        scheduler.configure(onePoolConfiguration(attempts = 4, cap = 40_000))
         scheduler.begin(settledAt, recorded.values.toList())
         for (job in jobs.values) {
             scheduler.accept(job, durable[job.identifier], now, now)
--- a/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SpeculativeCopiesTest.kt
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SpeculativeCopiesTest.kt
@@ -31,12 +31,7 @@
 
     private fun scheduler(cap: Long = 0): Scheduler {
         val scheduler = Scheduler(SchedulingPolicy()) { ++runs }
-        val queue = QueueSettings("queue", "pool", 0, 3, 2.0, 500.milliseconds, false)
-        val pool = PoolSettings("pool", standby = false)
-        val team = TeamSettings("team", 10.0, Resources(cap, 0))
-        scheduler.configure(
-            SchedulingConfiguration(1, mapOf("queue" to queue), mapOf("pool" to pool), mapOf("team" to team)),
-        )
+        scheduler.configure(onePoolConfiguration(attempts = 3, cap = cap))
         scheduler.executorsReported(listOf(first, second), now)
         listOf(first, second).forEach { list(scheduler, it) }
         scheduler.takeChanges(now)?.let { scheduler.durable(it, forever, now) }
@@ -64,11 +59,14 @@
         return scheduler.takeChanges(now)?.let { scheduler.durable(it, forever, now) }.orEmpty()
     }
 
+    private fun stops(): List<Order.Stop> =
+        scheduler.plan(now, now, forever, emptySet()).orders.filterIsInstance<Order.Stop>()
+
     /** Starts the job and lets its executor fall silent. */
     private fun startAndSilence(scheduler: Scheduler, speculative: Boolean = true): Order.Start {
         submit(scheduler, speculative)
         val start = starts(scheduler).single()
-        scheduler.startAnswered(start, StartOutcome.Started(100.seconds), now)
+        scheduler.startAnswered(start, StartOutcome.Started, now)
         scheduler.asked(start.executor, now)
         now += 1.seconds
         list(scheduler, other(start))
@@ -98,15 +96,11 @@
     fun `the first of two copies completes the task and the other is stopped`() {
         val start = startAndSilence(scheduler)
         val copy = starts(scheduler).single()
-        scheduler.startAnswered(copy, StartOutcome.Started(100.seconds), now)
+        scheduler.startAnswered(copy, StartOutcome.Started, now)
         now += 100.milliseconds
         list(scheduler, same(start), emptyList(), listOf(ListedEnd(1, start.task, start.run, RunEnding.Done, "")))
         assertEquals(JobState.Completed, scheduler.state(start.task.job))
-        val stop = scheduler
-            .plan(now, now, forever, emptySet())
-            .orders
-            .filterIsInstance<Order.Stop>()
-            .single()
+        val stop = stops().single()
         assertEquals(copy.executor, stop.executor)
     }
 
@@ -114,14 +108,10 @@
     fun `a copy that is not needed any more is stopped at the executor that answers again`() {
         val start = startAndSilence(scheduler)
         val copy = starts(scheduler).single()
-        scheduler.startAnswered(copy, StartOutcome.Started(100.seconds), now)
+        scheduler.startAnswered(copy, StartOutcome.Started, now)
         now += 100.milliseconds
         list(scheduler, same(start), ListedRun(start.task, start.run, "", 50, 0.0))
-        val stop = scheduler
-            .plan(now, now, forever, emptySet())
-            .orders
-            .filterIsInstance<Order.Stop>()
-            .single()
+        val stop = stops().single()
         assertEquals(start.run, stop.run)
     }
 
