Measure the cost of scheduling decisions by the number of executors

Cause: the owner's machine decides whether a grown site is served; nothing showed which decision grows with the fleet. Change: measure scheduler-cost drives the scheduler in virtual time with 30 to 1,000 executors and prints time and allocated bytes per start, end, live-list record and planning pass.

--- a/measure/src/main/kotlin/dogwoodgrade/measure/Main.kt
+++ b/measure/src/main/kotlin/dogwoodgrade/measure/Main.kt
@@ -15,6 +15,7 @@
         MaintenanceCommand(),
         BufferCommand(),
         ControlCostCommand(),
+        SchedulerCostCommand(),
     )
     parser.parseOrExit(arguments)
 }
