Let the strongest instance own the fleet, and cut the owner's overhead

Cause: on a grown site the first instance to claim owned the fleet, mostly one with a third of a core, and could not start tasks as fast as they came. Each durable append woke the watcher of every executor, each of which took the fleet lock; every call hopped between the event loop and the workers' threads; moves were bounded to 27 a second whatever the platform accepts.

--- a/node/src/main/kotlin/dogwoodgrade/node/FleetRecords.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/FleetRecords.kt
@@ -1,5 +1,6 @@
 package dogwoodgrade.node
 
+import dogwoodgrade.ownership.HandoverRequest
 import dogwoodgrade.ownership.OwnershipRecord
 import dogwoodgrade.scheduling.ExecutorIdentifier
 import dogwoodgrade.scheduling.ExecutorReport
@@ -28,6 +29,9 @@
 internal object FleetRecords {
     /** Key of the ownership record. */
     const val OWNER_KEY: String = "owner"
+
+    /** Key of the newest request for a handover, in the jobs topic, to which every entry instance may append. */
+    const val HANDOVER_KEY: String = "handover"
     private const val JOB_PREFIX = "job/"
     private const val CANCELLATION_PREFIX = "cancel/"
     private const val PROGRESS_PREFIX = "progress/"
@@ -79,13 +83,37 @@
 
     fun encode(owner: OwnershipRecord): ByteArray =
         json
-            .encodeToString(OwnerRecord(owner.epoch, owner.owner, owner.incarnation, owner.resigned))
-            .encodeToByteArray()
+            .encodeToString(
+                OwnerRecord(
+                    owner.epoch,
+                    owner.owner,
+                    owner.incarnation,
+                    owner.resigned,
+                    owner.capacity,
+                    owner.successor,
+                ),
+            ).encodeToByteArray()
 
     fun decodeOwner(value: ByteArray): OwnershipRecord? =
         decode("owner") {
             val record = json.decodeFromString<OwnerRecord>(value.decodeToString())
-            OwnershipRecord(record.epoch, record.owner, record.incarnation, record.resigned)
+            OwnershipRecord(
+                record.epoch,
+                record.owner,
+                record.incarnation,
+                record.resigned,
+                record.capacity,
+                record.successor,
+            )
+        }
+
+    fun encode(request: HandoverRequest): ByteArray =
+        json.encodeToString(HandoverRecord(request.epoch, request.candidate)).encodeToByteArray()
+
+    fun decodeHandover(value: ByteArray): HandoverRequest? =
+        decode("handover") {
+            val record = json.decodeFromString<HandoverRecord>(value.decodeToString())
+            HandoverRequest(record.epoch, record.candidate)
         }
 
     private fun <T> decode(recordDescription: String, read: () -> T): T? =
@@ -134,6 +162,14 @@
     val owner: String,
     val incarnation: String,
     val resigned: Boolean = false,
+    val capacity: Double = 0.0,
+    val successor: String? = null,
+)
+
+@Serializable
+private data class HandoverRecord(
+    val epoch: Long,
+    val candidate: String,
 )
 
 @Serializable
--- a/node/src/main/kotlin/dogwoodgrade/node/MachineLoop.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/MachineLoop.kt
@@ -29,6 +29,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
 import kotlin.time.Instant
 
 private val logger = KotlinLogging.logger {}
@@ -36,6 +37,9 @@
 /** Pause between two reads of the list of machines. */
 private val MACHINE_CHECK_PAUSE: Duration = 300.milliseconds
 
+/** Part of the accepted rate of orders that moves use; the rest is left for maintenance and for an earlier owner. */
+private const val MOVE_RATE_SHARE = 0.5
+
 /** Pause between two checks for the first answers of the executors at the beginning of a term. */
 private val FIRST_EXECUTOR_CHECK_PAUSE: Duration = 50.milliseconds
 
@@ -66,7 +70,13 @@
     private val reported = mutableMapOf<Long, Boolean>()
     private var emptying = emptySet<String>()
     private val recentMoves = mutableMapOf<String, Instant>()
-    private val sizing = SizingPolicy()
+    private val sizing =
+        SizingPolicy(
+            maximumMovesPerPlan =
+                (settings.machineOrderRate * MACHINE_CHECK_PAUSE.toDouble(DurationUnit.SECONDS) * MOVE_RATE_SHARE)
+                    .toInt()
+                    .coerceAtLeast(1),
+        )
 
     /** Executors whose machines may have been moved, or may still be, by an order without an answer. */
     private val possiblyMoved = mutableSetOf<ExecutorIdentifier>()
@@ -130,8 +140,9 @@
             reportStatus(wave.number, completed = false)
             retire(empty, machines)
             for (machine in decision.maintain) {
-                if (clock.now() < node.ownership.ordersUntil()) {
-                    orderMaintenance(client, wave.number, machines.getValue(machine))
+                val remaining = remainingOrderTime()
+                if (remaining > Duration.ZERO) {
+                    orderMaintenance(client, wave.number, machines.getValue(machine), remaining)
                 }
             }
         }
@@ -154,9 +165,12 @@
         fleet.withSchedule { it.retire(executors) }
     }
 
-    private suspend fun orderMaintenance(client: MachinesClient, wave: Long, machine: Machine) {
+    /** Returns the time for which this process may still give orders. */
+    private fun remainingOrderTime(): Duration = node.ownership.ordersUntil() - clock.now()
+
+    private suspend fun orderMaintenance(client: MachinesClient, wave: Long, machine: Machine, within: Duration) {
         val orderedAt = clock.now()
-        val outcome = client.maintain(machine.name, wave, epoch)
+        val outcome = client.maintain(machine.name, wave, epoch, within)
         logger.info { "machines: maintenance machine=${machine.name} wave=$wave epoch=$epoch outcome=$outcome" }
         val current = progress.getValue(wave)
         progress[wave] =
@@ -232,9 +246,9 @@
                 .filter { move ->
                     val executor = move.machine.executor
                     // The scheduler may have placed work on the executor since the plan was made.
-                    clock.now() < node.ownership.ordersUntil() &&
+                    remainingOrderTime() > Duration.ZERO &&
                         (executor == null || fleet.withSchedule { it.reserveForMove(executor) })
-                }.map { move -> async { move to client.move(move.machine.name, move.pool, epoch) } }
+                }.map { move -> async { move to client.move(move.machine.name, move.pool, epoch, remainingOrderTime()) } }
                 .awaitAll()
                 .forEach { (move, outcome) -> handleMoveOutcome(move, outcome, plan.wanted) }
         }
--- a/node/src/main/kotlin/dogwoodgrade/node/Main.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/Main.kt
@@ -6,9 +6,9 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.vertx.core.Vertx
 import io.vertx.core.VertxOptions
+import io.vertx.kotlin.coroutines.dispatcher
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.runBlocking
 import java.nio.file.Files
@@ -39,7 +39,8 @@
             logger.error(failure) { "node: uncaught exception in a coroutine, the process exits" }
             Runtime.getRuntime().halt(FATAL_STATUS)
         }
-    val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default + failures)
+    // All coroutines run on the event loop: a machine has about one core, and each change of thread costs system calls.
+    val scope = CoroutineScope(SupervisorJob() + vertx.orCreateContext.dispatcher() + failures)
     val node = Node(settings, vertx, scope)
     runBlocking { node.start() }
     handleSignals(node)
--- a/node/src/main/kotlin/dogwoodgrade/node/Node.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/Node.kt
@@ -2,9 +2,12 @@
 
 import dogwoodgrade.ownership.Candidate
 import dogwoodgrade.ownership.CandidateDecision
+import dogwoodgrade.ownership.HandoverRequest
 import dogwoodgrade.ownership.Lease
 import dogwoodgrade.ownership.OwnershipPolicy
 import dogwoodgrade.ownership.OwnershipRecord
+import dogwoodgrade.ownership.OwnershipView
+import dogwoodgrade.ownership.asksForHandover
 import dogwoodgrade.ownership.decideClaim
 import dogwoodgrade.ownership.grantsSettledAt
 import dogwoodgrade.platform.AdviceClient
@@ -44,6 +47,9 @@
 /** Pause between two checks whether to claim ownership, and between two checks for unanswered requests at a stop. */
 private val OWNERSHIP_CHECK_PAUSE: Duration = 50.milliseconds
 
+/** Time limit for the append of a request for a handover. */
+private val HANDOVER_REQUEST_TIME_LIMIT: Duration = 1.seconds
+
 /** Time after a stop request in which new connections still arrive. */
 private val STOP_NOTICE_TIME: Duration = 2500.milliseconds
 
@@ -90,7 +96,7 @@
     private val clock = NodeClock()
     private val policy = OwnershipPolicy(maximumGrantDuration = settings.longestGrant)
     private val incarnation = clock.wallTime().toEpochMilliseconds().toString(36)
-    private val candidate = Candidate(settings.entry, incarnation)
+    private val candidate = Candidate(settings.entry, incarnation, settings.processorCores)
     private val store = StoreClient(vertx, settings.store)
     private val storeAvailability = StoreAvailability(STORE_SILENCE_LIMIT)
     private val intake = JobIntake(store, "entry-${settings.entry}-$incarnation", clock, storeAvailability)
@@ -161,6 +167,9 @@
                 FleetRecords.jobOf(it.key) ?: FleetRecords.cancelledJobOf(it.key)
             }
         if (identifiers.isNotEmpty()) components.onJobRecords?.invoke(identifiers)
+        val requests = followed.records.filter { it.key == FleetRecords.HANDOVER_KEY }
+        requests.mapNotNull { it.value?.let(FleetRecords::decodeHandover) }.forEach(components.ownership::applyHandover)
+        if (requests.isNotEmpty()) session?.resignIfAsked()
     }
 
     private fun applyProgressRecords(followed: FollowedRecords) {
@@ -183,12 +192,25 @@
             val complete = components.jobs.hasBeenComplete() && components.configuration.current() != null
             val decision = if (view == null || !complete) null else decideClaim(view, candidate, policy, clock.now())
             if (decision is CandidateDecision.Claim) claim(decision)
+            if (decision == CandidateDecision.Follow && view != null) askForHandover(view)
             delay(OWNERSHIP_CHECK_PAUSE)
         }
     }
 
+    /** Asks a much weaker owner to resign, unless another instance has asked it before. */
+    private suspend fun askForHandover(view: OwnershipView) {
+        val epoch = view.record?.epoch ?: return
+        if (!asksForHandover(view, candidate, policy, clock.now())) return
+        if (components.ownership.handoverOf(epoch) != null) return
+        val request = HandoverRequest(epoch, candidate.name)
+        val value = FleetRecords.encode(request)
+        val outcome = intake.append(FleetRecords.HANDOVER_KEY, value, HANDOVER_REQUEST_TIME_LIMIT)
+        logger.info { "owner: handover asked epoch=$epoch owner=${view.record?.owner} outcome=$outcome" }
+        if (outcome != IntakeOutcome.NotDone) components.ownership.applyHandover(request)
+    }
+
     private suspend fun claim(decision: CandidateDecision.Claim) {
-        val record = OwnershipRecord(decision.epoch, settings.entry, incarnation, resigned = false)
+        val record = OwnershipRecord(decision.epoch, settings.entry, incarnation, resigned = false, settings.processorCores)
         // Candidates share the producer and may claim the same epoch. With equal sequence numbers, the store would take
         // the second claim for a repetition of the first and confirm both.
         val sequence = Random.nextLong(1, LARGEST_CLAIM_SEQUENCE)
@@ -219,6 +241,9 @@
         logger.info { "owner: term ended epoch=${record.epoch} reason=$reason" }
     }
 
+    /** Returns the epoch of the term in which this process owns the fleet, or 0 if it does not. */
+    fun ownedEpoch(): Long = session?.epoch ?: 0
+
     /** Stops gracefully: resigns ownership, answers open requests, and returns within the grace period. */
     suspend fun stop() {
         logger.info { "node: stopping unanswered=${server.activeRequestCount()} owner=${session != null}" }
--- a/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
@@ -63,6 +63,8 @@
     private val settledAt: Instant,
     claimSequence: Long,
 ) {
+    /** Epoch of this term. */
+    val epoch: Long = record.epoch
     private val clock = node.clock
     private var lastRunNumber = record.epoch * RUNS_PER_EPOCH
     private val fleet =
@@ -83,15 +85,22 @@
             node.storeAvailability,
             claimSequence,
             { forgotten.trySend(it) },
-            { onDurable(it) },
+            ::onDurable,
         )
     private val workers =
         OrderWorkers(executors, fleet, record.epoch, clock, node.metrics) { changed(it) }
     private val reports = mutableMapOf<ExecutorIdentifier, ExecutorReport>()
     private val machines = MachineLoop(node, settings, fleet, record.epoch, writer::enqueueRecord)
 
-    /** Resigns, so that another entry instance can take over at once. */
-    fun resign() = writer.resign()
+    /** Resigns, so that another entry instance can take over at once: [successor], if one is named. */
+    fun resign(successor: String? = null) = writer.resign(successor)
+
+    /** Resigns if a stronger entry instance has asked the owner of this term to. */
+    fun resignIfAsked() {
+        val request = node.ownership.handoverOf(record.epoch) ?: return
+        logger.info { "owner: resigns in favour of a stronger instance=${request.candidate} epoch=${record.epoch}" }
+        resign(request.candidate)
+    }
 
     /** Runs the term. Returns the reason why it ended. */
     suspend fun run(): String =
@@ -226,16 +235,18 @@
         changed()
     }
 
-    private fun onDurable(starts: List<Order.Start>) {
+    /** Sends [starts], and wakes only the watchers whose executor is affected: the fleet may have hundreds of them. */
+    private fun onDurable(starts: List<Order.Start>, withDurableEnds: Set<ExecutorIdentifier>) {
         if (starts.isNotEmpty()) submitOrders(starts)
-        watchers.values.forEach { it.wake() }
+        for (executor in withDurableEnds + starts.map { it.executor }) watchers[executor]?.wake()
     }
 
     private fun submitOrders(orders: List<Order>) {
-        val executorsByIdentifier = fleet.withSchedule { schedule ->
-            schedule.executors().associateBy { it.identifier }
-        }
-        for (order in orders) executorsByIdentifier[order.executor]?.let { workers.submit(it, order) }
+        val addressed =
+            fleet.withSchedule { schedule ->
+                orders.mapNotNull { order -> schedule.executor(order.executor)?.let { it to order } }
+            }
+        for ((executor, order) in addressed) workers.submit(executor, order)
     }
 
     private suspend fun plan(scope: CoroutineScope) {
--- a/node/src/main/kotlin/dogwoodgrade/node/OwnerWriter.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnerWriter.kt
@@ -7,6 +7,7 @@
 import dogwoodgrade.platform.Producer
 import dogwoodgrade.platform.StoreClient
 import dogwoodgrade.platform.Topic
+import dogwoodgrade.scheduling.ExecutorIdentifier
 import dogwoodgrade.scheduling.JobIdentifier
 import dogwoodgrade.scheduling.Order
 import dogwoodgrade.scheduling.ProgressBatch
@@ -37,6 +38,7 @@
  * written before it.
  *
  * @param claimSequence sequence number of the claim, the first append of the epoch
+ * @param onDurable called after each append with the starts to order now, and the executors with durable ends
  */
 internal class OwnerWriter(
     store: StoreClient,
@@ -49,7 +51,7 @@
     storeAvailability: StoreAvailability,
     claimSequence: Long,
     private val onForgotten: (List<JobIdentifier>) -> Unit,
-    private val onDurable: (List<Order.Start>) -> Unit,
+    private val onDurable: (List<Order.Start>, Set<ExecutorIdentifier>) -> Unit,
 ) {
     private val appends = RepeatedAppend(store, storeAvailability, clock, APPEND_RETRY_PAUSE)
     private val changeSignal = Channel<Unit>(Channel.CONFLATED)
@@ -60,6 +62,9 @@
     @Volatile
     private var resigning = false
 
+    @Volatile
+    private var successor: String? = null
+
     /** Makes the writer check for changes. */
     fun notifyChanged() {
         changeSignal.trySend(Unit)
@@ -71,8 +76,9 @@
         notifyChanged()
     }
 
-    /** Makes the writer append a resignation as its last record. */
-    fun resign() {
+    /** Makes the writer append a resignation as its last record, in favour of [successor] if one is named. */
+    fun resign(successor: String?) {
+        this.successor = successor
         resigning = true
         notifyChanged()
     }
@@ -113,7 +119,7 @@
         if (renew ||
             records.isEmpty()
         ) {
-            records += FleetRecords.OWNER_KEY to FleetRecords.encode(record.copy(resigned = isLast))
+            records += FleetRecords.OWNER_KEY to FleetRecords.encode(ownRecord(isLast))
         }
         val appended = appendUntilKnown(records) ?: return false
         if (renew) renewedAt = appended.sentAt
@@ -123,10 +129,13 @@
             if (batch.forgotten.isNotEmpty()) onForgotten(batch.forgotten)
         }
         val starts = if (batch == null) emptyList() else startsAfter(batch)
-        onDurable(starts)
+        onDurable(starts, batch?.ends?.keys.orEmpty())
         return true
     }
 
+    private fun ownRecord(isLast: Boolean): OwnershipRecord =
+        if (isLast) record.copy(resigned = true, successor = successor) else record
+
     private fun startsAfter(batch: ProgressBatch): List<Order.Start> =
         fleet.withSchedule { it.confirmDurable(batch, ownership.ordersUntil(), clock.now()) }
 
--- a/node/src/main/kotlin/dogwoodgrade/node/OwnershipTable.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnershipTable.kt
@@ -1,5 +1,6 @@
 package dogwoodgrade.node
 
+import dogwoodgrade.ownership.HandoverRequest
 import dogwoodgrade.ownership.Lease
 import dogwoodgrade.ownership.OwnershipPolicy
 import dogwoodgrade.ownership.OwnershipRecord
@@ -18,27 +19,42 @@
     private var record: OwnershipRecord? = null
     private var signAt: Instant = Instant.DISTANT_PAST
     private var readAt: Instant = Instant.DISTANT_PAST
+    private var recordSince: Instant = Instant.DISTANT_PAST
+    private var handover: HandoverRequest? = null
     private var nextOffset: Long? = null
     private var lease: Lease? = null
 
     /** Applies records of the progress topic. Each one is a sign of life of the owner: lower epochs cannot append. */
     @Synchronized
     fun applyRecords(followed: FollowedRecords, now: Instant) {
-        for (entry in followed.records) applyOwner(entry)
+        if (nextOffset == null) recordSince = now
+        for (entry in followed.records) applyOwner(entry, now)
         if (followed.records.isNotEmpty()) signAt = now
         nextOffset = followed.nextOffset
         if (followed.reachedEnd) readAt = now
     }
 
-    private fun applyOwner(entry: KeyedRecord) {
+    private fun applyOwner(entry: KeyedRecord, now: Instant) {
         if (entry.key != FleetRecords.OWNER_KEY) return
         val owner = entry.value?.let { FleetRecords.decodeOwner(it) } ?: return
-        if (owner.epoch >= (record?.epoch ?: 0)) record = owner
+        if (owner.epoch < (record?.epoch ?: 0)) return
+        if (owner.epoch != record?.epoch || owner.resigned != record?.resigned) recordSince = now
+        record = owner
     }
 
+    /** Records a request for a handover. A request for an earlier owner than the last one is ignored. */
+    @Synchronized
+    fun applyHandover(request: HandoverRequest) {
+        if (request.epoch > (handover?.epoch ?: 0)) handover = request
+    }
+
+    /** Returns the first request for a handover that was read for the owner of [epoch], or `null`. */
+    @Synchronized
+    fun handoverOf(epoch: Long): HandoverRequest? = handover?.takeIf { it.epoch == epoch }
+
     /** Returns the known ownership, or `null` if the topic has not been read. */
     @Synchronized
-    fun view(): OwnershipView? = if (nextOffset == null) null else OwnershipView(record, signAt, readAt)
+    fun view(): OwnershipView? = if (nextOffset == null) null else OwnershipView(record, signAt, readAt, recordSince)
 
     /** Returns the offset up to which the topic has been read. */
     @Synchronized
--- a/node/src/test/kotlin/dogwoodgrade/node/NodePathTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/NodePathTest.kt
@@ -64,6 +64,19 @@
             repeat(6) { job -> await("a$job completed") { state(nodes[0], "a$job") == """{"state":"completed"}""" } }
         }
 
+    /** Guards against a fleet that stays with a machine too weak to schedule it although a stronger one is there. */
+    @Test
+    fun `a weak owner hands over to a stronger instance and no run is lost`() =
+        onPlatform(nodes = 0) {
+            awaitReady(startNode("entry-0", processorCores = 0.3))
+            await("entry-0 owns the fleet") { nodes[0].isOwner() }
+            repeat(6) { assertEquals(200, call(nodes[0], "POST", "/queue/a$it", TestPlatform.TWO_STEPS).first) }
+            awaitReady(startNode("entry-1", processorCores = 1.5))
+            await("entry-1 owns the fleet") { nodes[1].isOwner() && !nodes[0].isOwner() }
+            repeat(6) { job -> await("a$job completed") { state(nodes[1], "a$job") == """{"state":"completed"}""" } }
+            assertEquals(18, executors.sumOf { it.startedRuns.size })
+        }
+
     @Test
     fun `a submission whose append got no answer is not refused and runs once`() =
         onPlatform(nodes = 2) {
--- a/node/src/test/kotlin/dogwoodgrade/node/TestPlatform.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/TestPlatform.kt
@@ -31,6 +31,9 @@
     private val scope: CoroutineScope,
     val node: Node,
 ) {
+    /** Whether the instance owns the fleet, as its metrics show it. */
+    fun isOwner(): Boolean = node.ownedEpoch() > 0
+
     /** Ends the instance without a graceful stop, as a killed process does. */
     suspend fun kill() {
         scope.cancel()
@@ -62,6 +65,7 @@
         name: String,
         scheduling: SchedulingPolicy = SchedulingPolicy(),
         storePort: Int = store.port,
+        processorCores: Double = 1.0,
     ): TestNode {
         val port = freePort()
         val settings =
@@ -69,6 +73,7 @@
                 """
                 {"node-name":"$name","zone":"zone-a","bootstrap":true,
                  "listen":{"frontend":"127.0.0.1:$port","readiness":"127.0.0.1:${freePort()}"},
+                 "limits":{"cpu-share":$processorCores,"cores":1},
                  "bounds":{"max-hold-ms":6000,"grace-s":4},"platform":{"address":"127.0.0.1:$storePort"}}
                 """.trimIndent(),
             )
--- a/ownership/src/main/kotlin/dogwoodgrade/ownership/Ownership.kt
+++ b/ownership/src/main/kotlin/dogwoodgrade/ownership/Ownership.kt
@@ -9,17 +9,33 @@
  * @property record newest ownership record, or `null` if there has never been an owner
  * @property ownerSeenAt time at which the newest record of the owner was read
  * @property logReadAt time at which the log was last read to its end
+ * @property recordSince time at which the owner of [record] was first read, or at which the log was first read
  */
 public data class OwnershipView(
     public val record: OwnershipRecord?,
     public val ownerSeenAt: Instant,
     public val logReadAt: Instant,
+    public val recordSince: Instant = ownerSeenAt,
 )
 
-/** An entry instance that may take over. */
+/**
+ * An entry instance that may take over.
+ *
+ * @property capacity processor cores that its machine gives it
+ */
 public data class Candidate(
     public val name: String,
     public val incarnation: String,
+    public val capacity: Double = 1.0,
+)
+
+/**
+ * Request of [candidate] that the owner of [epoch] resigns in its favour, because it has more processor cores. The
+ * owner's decisions for the whole fleet have to fit into its machine.
+ */
+public data class HandoverRequest(
+    public val epoch: Long,
+    public val candidate: String,
 )
 
 /** Decision of an entry instance that is not the owner. */
@@ -40,7 +56,8 @@
 /**
  * Decides whether [candidate] takes over the fleet.
  *
- * An owner that was an earlier incarnation of the candidate is known to have ended.
+ * An owner that was an earlier incarnation of the candidate is known to have ended. Weaker candidates wait, so that a
+ * stronger one is first.
  */
 public fun decideClaim(
     view: OwnershipView,
@@ -48,19 +65,52 @@
     policy: OwnershipPolicy,
     now: Instant,
 ): CandidateDecision {
-    val record = view.record ?: return CandidateDecision.Claim(1, ClaimReason.NoOwner)
+    val record = view.record
+    if (record == null) {
+        val claimableAt = view.recordSince + weaknessDelay(candidate.capacity, 1.0, policy)
+        return if (now < claimableAt) CandidateDecision.Follow else CandidateDecision.Claim(1, ClaimReason.NoOwner)
+    }
+    val claim = { reason: ClaimReason -> CandidateDecision.Claim(record.epoch + 1, reason) }
     // A record of this incarnation that is not resigned means that a newer record has not been read yet.
-    if (record.owner == candidate.name && (record.resigned || record.incarnation != candidate.incarnation)) {
-        val reason = if (record.resigned) ClaimReason.OwnerResigned else ClaimReason.OwnRestart
-        return CandidateDecision.Claim(record.epoch + 1, reason)
+    val ownRestart = record.owner == candidate.name && record.incarnation != candidate.incarnation
+    if (ownRestart && !record.resigned) return claim(ClaimReason.OwnRestart)
+    if (record.resigned) {
+        val claimableAt = view.recordSince + resignationDelay(record, candidate, policy)
+        return if (now < claimableAt) CandidateDecision.Follow else claim(ClaimReason.OwnerResigned)
     }
-    if (record.resigned) return CandidateDecision.Claim(record.epoch + 1, ClaimReason.OwnerResigned)
-    val claimableAt = view.ownerSeenAt + policy.ownerTimeout + claimDelay(candidate.name, record.epoch, policy)
+    val claimableAt =
+        view.ownerSeenAt + policy.ownerTimeout + claimDelay(candidate.name, record.epoch, policy) +
+            weaknessDelay(candidate.capacity, record.capacity, policy)
     // The absence of owner records is evidence only if the log was recently read to its end.
     if (now < claimableAt || now - view.logReadAt > policy.renewalInterval) return CandidateDecision.Follow
-    return CandidateDecision.Claim(record.epoch + 1, ClaimReason.OwnerSilent)
+    return claim(ClaimReason.OwnerSilent)
 }
 
+/** Returns whether [candidate] asks the owner to resign in its favour. */
+public fun asksForHandover(
+    view: OwnershipView,
+    candidate: Candidate,
+    policy: OwnershipPolicy,
+    now: Instant,
+): Boolean {
+    val record = view.record ?: return false
+    val stronger = record.capacity > 0 && candidate.capacity >= record.capacity * policy.handoverRatio
+    val due = view.recordSince + policy.handoverDelay + claimDelay(candidate.name, record.epoch, policy)
+    return stronger && !record.resigned && now >= due
+}
+
+/** Returns how long a candidate waits after a resignation. A named successor that does not claim has ended. */
+private fun resignationDelay(record: OwnershipRecord, candidate: Candidate, policy: OwnershipPolicy): Duration =
+    when (record.successor) {
+        candidate.name -> Duration.ZERO
+        null -> weaknessDelay(candidate.capacity, record.capacity, policy)
+        else -> policy.successorDelay + weaknessDelay(candidate.capacity, record.capacity, policy)
+    }
+
+/** Returns a delay that rises with the lack of [capacity] compared with [reference]; 0 stands for an unknown one. */
+private fun weaknessDelay(capacity: Double, reference: Double, policy: OwnershipPolicy): Duration =
+    if (reference <= 0) Duration.ZERO else policy.weakCandidateDelay * (1 - capacity / reference).coerceIn(0.0, 1.0)
+
 /** Returns a delay that differs between candidates, so that they do not claim at the same time. */
 private fun claimDelay(name: String, epoch: Long, policy: OwnershipPolicy): Duration {
     val steps = 8
--- a/ownership/src/test/kotlin/dogwoodgrade/ownership/OwnershipTest.kt
+++ b/ownership/src/test/kotlin/dogwoodgrade/ownership/OwnershipTest.kt
@@ -3,6 +3,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFailsWith
+import kotlin.test.assertFalse
 import kotlin.test.assertIs
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
@@ -64,6 +65,51 @@
         assertIs<CandidateDecision.Follow>(decideClaim(ownedView("entry-b", 10), fenced, policy, now))
     }
 
+    private fun viewOf(record: OwnershipRecord, since: Long) =
+        OwnershipView(record, now, now, now - since.milliseconds)
+
+    private val weakOwner = OwnershipRecord(4, "entry-a", "life-1", resigned = false, capacity = 0.36)
+
+    /** Guards against a fleet that is scheduled by its weakest machine because that one claimed first. */
+    @Test
+    fun `a weak candidate leaves the first claim to stronger ones`() {
+        val view = OwnershipView(null, now, now, now - 100.milliseconds)
+        assertIs<CandidateDecision.Claim>(decideClaim(view, candidate.copy(capacity = 1.5), policy, now))
+        assertIs<CandidateDecision.Follow>(decideClaim(view, candidate.copy(capacity = 0.36), policy, now))
+        val later = now + policy.weakCandidateDelay
+        assertIs<CandidateDecision.Claim>(decideClaim(view, candidate.copy(capacity = 0.36), policy, later))
+    }
+
+    @Test
+    fun `candidates as strong as the owner replace it without an additional delay`() {
+        val record = weakOwner.copy(capacity = 0.75)
+        val view = OwnershipView(record, now - policy.ownerTimeout - policy.maximumClaimDelay, now)
+        assertIs<CandidateDecision.Claim>(decideClaim(view, candidate.copy(capacity = 0.75), policy, now))
+        assertIs<CandidateDecision.Follow>(decideClaim(view, candidate.copy(capacity = 0.36), policy, now))
+    }
+
+    @Test
+    fun `a much stronger candidate asks an owner that has been in place for a while to hand over`() {
+        val strong = candidate.copy(capacity = 1.5)
+        assertTrue(asksForHandover(viewOf(weakOwner, 1200), strong, policy, now))
+        assertFalse(asksForHandover(viewOf(weakOwner, 100), strong, policy, now))
+        assertFalse(asksForHandover(viewOf(weakOwner, 1200), candidate.copy(capacity = 0.5), policy, now))
+        assertFalse(asksForHandover(viewOf(weakOwner.copy(resigned = true), 1200), strong, policy, now))
+        assertFalse(asksForHandover(viewOf(weakOwner.copy(capacity = 0.0), 1200), strong, policy, now))
+    }
+
+    /** Guards against an owner that resigns and then claims again before its successor does. */
+    @Test
+    fun `the successor that an owner named claims first, the others after it has failed to`() {
+        val resigned = weakOwner.copy(resigned = true, successor = "entry-b")
+        val others = listOf(candidate.copy(name = "entry-c"), Candidate("entry-a", "life-1"))
+        assertIs<CandidateDecision.Claim>(decideClaim(viewOf(resigned, 10), candidate, policy, now))
+        for (other in others) {
+            assertIs<CandidateDecision.Follow>(decideClaim(viewOf(resigned, 10), other, policy, now))
+            assertIs<CandidateDecision.Claim>(decideClaim(viewOf(resigned, 1100), other, policy, now))
+        }
+    }
+
     @Test
     fun `an owner stops giving orders before another one may take over`() {
         val lease = Lease(1, now)
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
@@ -126,6 +126,9 @@
     public fun allExecutorsAnswered(): Boolean =
         tables.executors.isNotEmpty() && tables.executors.values.all { it.listedAt != null || !it.reachable }
 
+    /** Returns an executor, or `null` if it is not known. */
+    public fun executor(identifier: ExecutorIdentifier): ExecutorReport? = tables.executors[identifier]?.report
+
     /** Returns all known executors, in no particular order. */
     public fun executors(): List<ExecutorReport> = tables.executors.values.map { it.report }
 
