Read the store less, show the newest state, and plan only what changed

A planning pass looked at every executor, run and job every 8 ms. Change: a query for a job that has not ended ends the pause of the progress reader and waits for that read; job records and, on instances weaker than the owner, progress are read every 0.8 s. A pass plans only pools in which a task has become ready or capacity free; the whole fleet is looked at every 40 ms.

--- a/node/src/main/kotlin/dogwoodgrade/node/CallerHandler.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/CallerHandler.kt
@@ -32,6 +32,7 @@
  *
  * @param readNewJobs adds the records that the log has beyond the job table; returns `false` if it could not read them
  * all
+ * @param readNewProgress adds the progress that the log has beyond the job table
  */
 internal class CallerHandler(
     private val configuration: ConfigurationTable,
@@ -40,6 +41,7 @@
     private val clock: NodeClock,
     private val metrics: NodeMetrics,
     private val readNewJobs: suspend () -> Boolean,
+    private val readNewProgress: suspend () -> Unit,
 ) {
     /** Returns the reply to [request]. */
     suspend fun handle(request: JobApiRequest): JobApiReply {
@@ -117,7 +119,11 @@
 
     private suspend fun query(identifier: JobIdentifier): JobApiReply {
         val found = lookUp(identifier)
-        return found.job?.let { JobApiReply.State(it.state) } ?: unknown(identifier, found.complete)
+        val job = found.job ?: return unknown(identifier, found.complete)
+        if (job.state.ended) return JobApiReply.State(job.state)
+        // Callers ask most often when the job has just ended.
+        readNewProgress()
+        return JobApiReply.State((jobs[identifier] ?: job).state)
     }
 
     private suspend fun cancel(request: JobApiRequest, identifier: JobIdentifier): JobApiReply {
--- a/node/src/main/kotlin/dogwoodgrade/node/Node.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/Node.kt
@@ -41,6 +41,15 @@
 /** Pause between two reads of a topic, in which records accumulate. */
 private val FOLLOWER_READ_PAUSE: Duration = 200.milliseconds
 
+/**
+ * Pause between two reads of a topic whose news can wait, as every read is a call that the store charges for. Callers
+ * who ask for the state of a job do not wait for it. Shorter than [STORE_SILENCE_LIMIT].
+ */
+private val UNURGENT_READ_PAUSE: Duration = 800.milliseconds
+
+/** Longest wait of a caller for the newest progress; the state that is known is shown then. */
+private val LONGEST_PROGRESS_WAIT: Duration = 300.milliseconds
+
 /** Pause of the owner between two reads of the jobs topic. */
 private val OWNER_READ_PAUSE: Duration = 10.milliseconds
 
@@ -118,7 +127,18 @@
             scheduling,
         )
     private val handler =
-        CallerHandler(components.configuration, components.jobs, intake, clock, components.metrics, ::readNewJobs)
+        CallerHandler(
+            components.configuration,
+            components.jobs,
+            intake,
+            clock,
+            components.metrics,
+            ::readNewJobs,
+            ::readNewProgress,
+        )
+    private val jobFollower =
+        follower(Topic.Jobs, { if (session == null) UNURGENT_READ_PAUSE else OWNER_READ_PAUSE }) { applyJobRecords(it) }
+    private val progressFollower = follower(Topic.Progress, ::progressReadPause) { applyProgressRecords(it) }
     private val server = CallerServer(vertx, scope, handler::handle, ::ready, components.metrics::text)
 
     @Volatile
@@ -136,13 +156,9 @@
     /** Starts the servers and the coroutines that follow the log. */
     suspend fun start() {
         server.listen(settings.callers, settings.readiness)
-        scope.launch { follow(Topic.Operator, { FOLLOWER_READ_PAUSE }) { applyOperatorRecords(it) } }
-        scope.launch {
-            follow(Topic.Jobs, { if (session == null) FOLLOWER_READ_PAUSE else OWNER_READ_PAUSE }) {
-                applyJobRecords(it)
-            }
-        }
-        scope.launch { follow(Topic.Progress, { FOLLOWER_READ_PAUSE }) { applyProgressRecords(it) } }
+        scope.launch { follower(Topic.Operator, { FOLLOWER_READ_PAUSE }) { applyOperatorRecords(it) }.run() }
+        scope.launch { jobFollower.run() }
+        scope.launch { progressFollower.run() }
         scope.launch { intake.run() }
         scope.launch { claimWhenDue() }
         logger.info {
@@ -151,8 +167,17 @@
         }
     }
 
-    private suspend fun follow(topic: Topic, pause: () -> Duration, apply: suspend (FollowedRecords) -> Unit) =
-        TopicFollower(components.store, topic, clock, pause, components.storeAvailability, apply).run()
+    private fun follower(topic: Topic, pause: () -> Duration, apply: suspend (FollowedRecords) -> Unit) =
+        TopicFollower(components.store, topic, clock, pause, components.storeAvailability, apply)
+
+    /** Instances that are weaker than the owner leave it to others to notice its end soon. */
+    private fun progressReadPause(): Duration {
+        val ownerCapacity = components.ownership
+            .view()
+            ?.record
+            ?.capacity ?: 0.0
+        return if (settings.processorCores < ownerCapacity) UNURGENT_READ_PAUSE else FOLLOWER_READ_PAUSE
+    }
 
     private fun applyOperatorRecords(followed: FollowedRecords) {
         val records = followed.records.mapNotNull { readOperatorRecord(it) }
@@ -186,6 +211,11 @@
         return outcome.nextOffset >= outcome.endOffset
     }
 
+    private suspend fun readNewProgress() {
+        // The owner applies its own appends.
+        if (session == null) progressFollower.catchUp(LONGEST_PROGRESS_WAIT)
+    }
+
     private suspend fun claimWhenDue() {
         while (!stopping) {
             val view = components.ownership.view()
@@ -232,6 +262,7 @@
         val term = OwnerSession(components, settings, record, policy, settledAt, sequence)
         components.ownership.updateLease(Lease(record.epoch, claimedAt))
         session = term
+        jobFollower.endPause()
         components.metrics.owning(record.epoch)
         val reason = term.run()
         session = null
--- a/node/src/main/kotlin/dogwoodgrade/node/TopicFollower.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/TopicFollower.kt
@@ -5,7 +5,11 @@
 import dogwoodgrade.platform.StoreClient
 import dogwoodgrade.platform.Topic
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
@@ -15,6 +19,9 @@
 /** Time for which a read waits for records. A connection without an answer for longer is replaced. */
 private val READ_WAIT: Duration = 1500.milliseconds
 
+/** Time in which the records of a read arrive, unless the store or the link is slow. */
+private val LONGEST_TRANSFER_TIME: Duration = 10.milliseconds
+
 /** Pause after a failed read; the store charges for refused calls too. */
 private val READ_RETRY_PAUSE: Duration = 150.milliseconds
 
@@ -50,13 +57,39 @@
 ) {
     private var next: Long? = null
     private var knownOffset = 0L
+    private val readSignal = Channel<Unit>(Channel.CONFLATED)
+    private val completedReads = MutableStateFlow(0L)
+
+    /** Whether no read is under way, so that the topic may have records that have not been asked for. */
+    @Volatile
+    private var pausing = false
+
+    /**
+     * Waits until the records have been applied that the topic has now, at most for [limit].
+     *
+     * A read that is under way returns as soon as there is a record, so that one that does not return soon has nothing
+     * to wait for.
+     */
+    suspend fun catchUp(limit: Duration) {
+        val before = completedReads.value
+        val longestWait = if (pausing) limit else minOf(limit, LONGEST_TRANSFER_TIME)
+        endPause()
+        withTimeoutOrNull(longestWait) { completedReads.first { it > before } }
+    }
+
+    /** Starts the next read at once if this follower pauses. */
+    fun endPause() {
+        if (pausing) readSignal.trySend(Unit)
+    }
 
     /** Follows the topic until the coroutine is cancelled. */
     suspend fun run() {
+        var wait = READ_WAIT
         while (true) {
             val from = next
             val sentAt = clock.now()
-            val outcome = if (from == null) store.newest(topic) else store.read(topic, from, READ_WAIT)
+            val outcome = if (from == null) store.newest(topic) else store.read(topic, from, wait)
+            wait = READ_WAIT
             storeAvailability.recordCall(outcome !is ReadOutcome.Failed, sentAt, clock.now())
             when (outcome) {
                 is ReadOutcome.Failed -> {
@@ -71,12 +104,22 @@
                 }
                 is ReadOutcome.Records -> {
                     receive(outcome, from)
-                    delay(pause())
+                    completedReads.value++
+                    // Somebody waits for the end of the next read, which therefore must not wait for records.
+                    if (pauseOrSignal()) wait = Duration.ZERO
                 }
             }
         }
     }
 
+    /** Pauses between two reads. Returns whether [catchUp] ended the pause. */
+    private suspend fun pauseOrSignal(): Boolean {
+        pausing = true
+        val signalled = withTimeoutOrNull(pause()) { readSignal.receive() } != null
+        pausing = false
+        return signalled
+    }
+
     private suspend fun receive(outcome: ReadOutcome.Records, from: Long?) {
         if (outcome.nextOffset < knownOffset) {
             logger.warn { "follower: stale snapshot topic=$topic end=${outcome.nextOffset} known=$knownOffset" }
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ExecutorRow.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ExecutorRow.kt
@@ -52,6 +52,14 @@
     val free: Resources
         get() = report.capacity - used
 
+    /** Returns whether [request] fits into the free capacity. */
+    fun hasRoomFor(request: Resources): Boolean {
+        val capacity = report.capacity
+        return request.processor <= capacity.processor - used.processor &&
+            request.memory <= capacity.memory - used.memory &&
+            request.accelerators <= capacity.accelerators - used.accelerators
+    }
+
     fun estimatedClock(now: Instant): Duration? = clock?.let { it + (now - clockReadAt) }
 
     /**
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetTables.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetTables.kt
@@ -11,8 +11,15 @@
  */
 internal class FleetTables {
     val jobs: MutableMap<JobIdentifier, JobRow> = linkedMapOf()
-    val executors: MutableMap<ExecutorIdentifier, ExecutorRow> = linkedMapOf()
+    private val executorRows = linkedMapOf<ExecutorIdentifier, ExecutorRow>()
+    private val executorsByPool = mutableMapOf<String, LinkedHashSet<ExecutorRow>>()
+
+    /** All executors. Only [addExecutor] and [dropExecutor] change the table. */
+    val executors: Map<ExecutorIdentifier, ExecutorRow> get() = executorRows
     val readySteps: MutableMap<String, LinkedHashSet<StepRow>> = mutableMapOf()
+
+    /** Pools in which a task has become ready or capacity has become free since the last planning pass. */
+    val poolsToPlan: MutableSet<String> = mutableSetOf()
     val teamUse: MutableMap<String, Resources> = mutableMapOf()
     val goneExecutors: LinkedHashSet<ExecutorIdentifier> = linkedSetOf()
     val plannedStarts: MutableList<PlannedStart> = mutableListOf()
@@ -29,13 +36,29 @@
     /** Returns the pool that serves the job's queue now, or the one recorded with the job if the queue was removed. */
     fun poolOf(job: Job): String = configuration.queues[job.queue]?.pool ?: job.pool
 
+    /** Returns the executors of [pool]. */
+    fun executorsOf(pool: String): Set<ExecutorRow> = executorsByPool[pool].orEmpty()
+
+    /** Adds an executor, or replaces the report of a known one. Returns its row. */
+    fun addExecutor(report: ExecutorReport): ExecutorRow {
+        val row = executorRows.getOrPut(report.identifier) { ExecutorRow(report) }
+        if (row.report.pool != report.pool) executorsByPool[row.report.pool]?.remove(row)
+        row.report = report
+        executorsByPool.getOrPut(report.pool) { linkedSetOf() } += row
+        return row
+    }
+
     /** Removes an executor on which no run exists or can start any more. */
     fun dropExecutor(identifier: ExecutorIdentifier) {
-        if (executors.remove(identifier) != null) goneExecutors += identifier
+        val row = executorRows.remove(identifier) ?: return
+        executorsByPool[row.report.pool]?.remove(row)
+        goneExecutors += identifier
     }
 
     fun markReady(row: StepRow) {
-        readySteps.getOrPut(poolOf(row.job.job)) { linkedSetOf() } += row
+        val pool = poolOf(row.job.job)
+        readySteps.getOrPut(pool) { linkedSetOf() } += row
+        poolsToPlan += pool
     }
 
     fun activate(task: TaskRow, run: ActiveRun) {
@@ -64,6 +87,7 @@
             if (it.runs.remove(task.name) != null && step != null) {
                 it.used -= step.step.reserved
                 if (step.step.longRunning) it.longRuns--
+                poolsToPlan += it.report.pool
             }
         }
         if (step != null) removeUse(step.job.job.team, step.step.request)
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobRows.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobRows.kt
@@ -67,6 +67,9 @@
     var tickets: Map<ExecutorIdentifier, Ticket> = emptyMap()
     var adviceRequestedAt: Instant? = null
 
+    /** Declared run time from the start of this step to the end of its occurrence. */
+    val remainingCriticalPath: Duration = remainingCriticalPath(job.job.steps, number)
+
     val completed: Boolean
         get() = tasks.all { it.phase == TaskPhase.Done }
 
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Placement.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Placement.kt
@@ -14,17 +14,20 @@
     val needsTicket: Boolean,
 )
 
-/** Returns the executors on which a task of [row] may start, regardless of their free capacity. */
+/** Returns whether a task may start on [executor], regardless of its step and of the free capacity. */
+internal fun acceptsTasks(executor: ExecutorRow, context: PlacementContext): Boolean =
+    executor.usable(context.now) && executor.report.zone !in context.avoidedZones
+
+/** Returns those of [executors], all of which accept tasks, on which a task of [row] may start. */
 internal fun allowedExecutors(
     row: StepRow,
     executors: List<ExecutorRow>,
     context: PlacementContext,
 ): List<ExecutorRow> {
     val step = row.step
+    if (step.requiredLabel == null && !context.needsTicket) return executors
     return executors.filter { executor ->
-        executor.usable(context.now) &&
-            executor.report.zone !in context.avoidedZones &&
-            (step.requiredLabel == null || step.requiredLabel in executor.report.labels) &&
+        (step.requiredLabel == null || step.requiredLabel in executor.report.labels) &&
             (!context.needsTicket || hasTicket(row, executor, context.now))
     }
 }
@@ -35,14 +38,27 @@
 }
 
 /** Returns the best executor in [allowed] for [task], or `null` if the task fits on none of them. */
-internal fun chooseExecutor(row: StepRow, task: TaskRow, allowed: List<ExecutorRow>): ExecutorRow? =
-    allowed
-        .filter { row.step.reserved.fitsIn(it.free) && withinTaskLimit(row, it) }
-        .minWithOrNull(compareBy({ penalty(row, task, it) }, { fitOrder(row, it) }))
+internal fun chooseExecutor(row: StepRow, task: TaskRow, allowed: List<ExecutorRow>): ExecutorRow? {
+    val counts = if (row.step.tasksPerExecutor > 0) activeTasksByExecutor(row) else emptyMap()
+    var best: ExecutorRow? = null
+    var bestPenalty = 0
+    var bestOrder = 0L
+    for (executor in allowed) {
+        val withinLimit = counts.isEmpty() || (counts[executor.identifier] ?: 0) < row.step.tasksPerExecutor
+        if (!withinLimit || !executor.hasRoomFor(row.step.reserved)) continue
+        val penalty = penalty(row, task, executor)
+        val order = fitOrder(row, executor)
+        if (best == null || penalty < bestPenalty || penalty == bestPenalty && order < bestOrder) {
+            best = executor
+            bestPenalty = penalty
+            bestOrder = order
+        }
+    }
+    return best
+}
 
-private fun withinTaskLimit(row: StepRow, executor: ExecutorRow): Boolean =
-    row.step.tasksPerExecutor == 0 ||
-        row.tasks.count { it.active?.executor == executor.identifier } < row.step.tasksPerExecutor
+private fun activeTasksByExecutor(row: StepRow): Map<ExecutorIdentifier, Int> =
+    row.tasks.mapNotNull { it.active?.executor }.groupingBy { it }.eachCount()
 
 private fun penalty(row: StepRow, task: TaskRow, executor: ExecutorRow): Int {
     var penalty = 0
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Ranking.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Ranking.kt
@@ -62,7 +62,7 @@
     val job = row.job.job
     val due = job.repetition?.dueTime(row.occurrence) ?: job.acceptedAt
     val objective = job.criticalPath * (queue?.slackFactor ?: 1.0) + (queue?.targetLatency ?: Duration.ZERO)
-    val slack = due + objective - wallTime - remainingCriticalPath(row)
+    val slack = due + objective - wallTime - row.remainingCriticalPath
     return Rank(kind, priority, exceedsEntitlement, urgencyOf(row, slack, objective - job.criticalPath), slack)
 }
 
@@ -74,11 +74,10 @@
         else -> Urgency.AmpleSlack
     }
 
-/** Returns the declared run time from the start of [row] to the end of its occurrence. */
-private fun remainingCriticalPath(row: StepRow): Duration {
-    val steps = row.job.job.steps
-    val from = MutableList(steps.size) { if (it == row.number) steps[it].estimate else Duration.ZERO }
-    for (number in row.number + 1 until steps.size) {
+/** Returns the declared run time from the start of step [first] of [steps] to the end of the last one. */
+internal fun remainingCriticalPath(steps: List<Step>, first: Int): Duration {
+    val from = MutableList(steps.size) { if (it == first) steps[it].estimate else Duration.ZERO }
+    for (number in first + 1 until steps.size) {
         val before = steps[number].dependencies.maxOfOrNull { from.getOrElse(it) { Duration.ZERO } }
         if (before != null && before > Duration.ZERO) from[number] = before + steps[number].estimate
     }
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
@@ -1,12 +1,19 @@
 package dogwoodgrade.scheduling
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
 /** Maximum age of a job that counts as arriving work; older ones were accepted before this owner took over. */
 private val MAX_ARRIVAL_AGE: Duration = 2.seconds
 
+/** Time between two passes that look at everything. */
+private val FULL_PASS_INTERVAL: Duration = 40.milliseconds
+
+/** Time between two searches for ended jobs whose retention time has passed. */
+private val FORGET_INTERVAL: Duration = 1.seconds
+
 /**
  * Schedules the jobs of all pools while this process owns the fleet.
  *
@@ -30,6 +37,8 @@
     /** Incarnations of executors that are known to have ended; the live list still shows them for some seconds. */
     private val endedExecutors = mutableMapOf<ExecutorIdentifier, Long>()
     private var settledAt = Instant.DISTANT_PAST
+    private var fullPassAt = Instant.DISTANT_PAST
+    private var forgottenAt = Instant.DISTANT_PAST
 
     /** Returns the load of all pools and executors. */
     public fun fleetView(now: Instant, wallTime: Instant): FleetView = fleetView(tables, arrivals, now, wallTime)
@@ -43,10 +52,9 @@
     public fun startOwnership(settledAt: Instant, knownExecutors: List<ExecutorReport>) {
         this.settledAt = settledAt
         for (report in knownExecutors) {
-            val row = ExecutorRow(report)
+            val row = tables.addExecutor(report)
             row.absentFromLiveList = true
             row.recorded = true
-            tables.executors[report.identifier] = row
         }
     }
 
@@ -106,11 +114,12 @@
         val alive = reports.filter { it.incarnation > (endedExecutors[it.identifier] ?: Long.MIN_VALUE) }
         val present = alive.mapTo(mutableSetOf()) { it.identifier }
         for (report in alive) {
-            val row = tables.executors.getOrPut(report.identifier) { ExecutorRow(report) }
-            if (report.incarnation < row.report.incarnation) continue
-            if (report.incarnation > row.report.incarnation) listings.restart(row, report.incarnation, now)
-            row.report = report
-            row.absentFromLiveList = false
+            val known = tables.executors[report.identifier]
+            if (known != null && report.incarnation < known.report.incarnation) continue
+            if (known != null && report.incarnation > known.report.incarnation) {
+                listings.restart(known, report.incarnation, now)
+            }
+            tables.addExecutor(report).absentFromLiveList = false
         }
         for (row in tables.executors.values) row.absentFromLiveList = row.identifier !in present
         dropAbsentExecutors()
@@ -239,20 +248,31 @@
 
     /** Plans orders and starts. The plan contains no orders once [ownedUntil] has passed. */
     public fun plan(now: Instant, wallTime: Instant, ownedUntil: Instant, evacuatedZones: Set<String>): SchedulerPlan {
-        updateZones(now)
+        // What no event announces, such as a deadline that passes, is looked for in part of the passes only: it takes a
+        // look at every executor, run and job.
+        val full = now - fullPassAt >= FULL_PASS_INTERVAL || now < fullPassAt
+        if (full) updateZones(now)
         val probes = tables.zones.probes
         if (now >= ownedUntil) return SchedulerPlan(emptyList(), emptyList(), probes, takeEvents())
-        expireGrants(now)
+        if (full) {
+            fullPassAt = now
+            expireGrants(now)
+            createDueOccurrences(now, wallTime)
+            speculativeCopies.plan(now)
+            stops.planStopsOfAllRuns(now)
+        }
+        val inputs = PlanInputs(now, wallTime, evacuatedZones + tables.zones.silent, jobsExceedingEntitlement)
+        starts.plan(inputs, all = full)
+        val orders = stops.plan(now) + if (full) pace.plan(now) else emptyList()
+        return SchedulerPlan(orders, starts.adviceRequests.toList(), probes, takeEvents())
+    }
+
+    private fun createDueOccurrences(now: Instant, wallTime: Instant) {
         for (row in tables.jobs.values) {
             if (row.job.repetition != null && !row.ended && transitions.createDueOccurrences(row, wallTime)) {
                 transitions.releaseSteps(row, now)
             }
         }
-        val inputs = PlanInputs(now, wallTime, evacuatedZones + tables.zones.silent, jobsExceedingEntitlement)
-        speculativeCopies.plan(now)
-        starts.plan(inputs)
-        val orders = stops.plan(now) + pace.plan(now)
-        return SchedulerPlan(orders, starts.adviceRequests.toList(), probes, takeEvents())
     }
 
     private fun updateZones(now: Instant) {
@@ -275,10 +295,15 @@
         dropAbsentExecutors()
     }
 
+    private fun forgetExpiredJobs(now: Instant): List<JobIdentifier> {
+        if (now - forgottenAt < FORGET_INTERVAL) return emptyList()
+        forgottenAt = now
+        return transitions.forgetExpiredJobs(now).also { jobsExceedingEntitlement -= it.toSet() }
+    }
+
     /** Returns the changes that have to be made durable, or `null` if there are none. */
     public fun takeChanges(now: Instant): ProgressBatch? {
-        val forgotten = transitions.forgetExpiredJobs(now)
-        jobsExceedingEntitlement -= forgotten.toSet()
+        val forgotten = forgetExpiredJobs(now)
         val ends = tables.executors.values.filter { it.processedEnd > it.durableEnd }
         val unrecorded = tables.executors.values
             .filter { !it.recorded }
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/StartPlanner.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/StartPlanner.kt
@@ -27,17 +27,25 @@
         return entitlementBuckets.getOrPut(team.name) { TokenBucket(team.weight * 2, now) }.tryTake(team.weight, now)
     }
 
-    fun plan(inputs: PlanInputs) {
+    /** Plans the pools that have changed since the last pass, or all of them if [all] is set. */
+    fun plan(inputs: PlanInputs, all: Boolean) {
         adviceRequests.clear()
+        val changed = tables.poolsToPlan.toSet()
+        tables.poolsToPlan.clear()
         for ((pool, ready) in tables.readySteps) {
+            if (!all && pool !in changed) continue
             ready.removeIf { it.job.ended || !it.hasReady }
-            if (ready.isEmpty()) continue
-            val executors = tables.executors.values.filter { it.report.pool == pool }
-            val ranked = ready.map { rank(it, inputs) to it }
-            for ((_, row) in ranked.sortedBy { it.first }) startStep(row, executors, inputs)
+            if (ready.isNotEmpty()) planPool(pool, ready, inputs)
         }
     }
 
+    private fun planPool(pool: String, ready: Set<StepRow>, inputs: PlanInputs) {
+        val context = PlacementContext(inputs.now, inputs.avoidedZones, false)
+        val executors = tables.executorsOf(pool).filter { acceptsTasks(it, context) }
+        val ranked = ready.map { rank(it, inputs) to it }
+        for ((_, row) in ranked.sortedBy { it.first }) startStep(row, executors, inputs)
+    }
+
     private fun rank(row: StepRow, inputs: PlanInputs): Rank {
         val queue = tables.configuration.queues[row.job.job.queue]
         return rankOf(
@@ -172,15 +180,14 @@
     private fun requestAdvice(row: StepRow, executors: List<ExecutorRow>, inputs: PlanInputs) {
         val requestedAt = row.adviceRequestedAt
         if (requestedAt != null && inputs.now - requestedAt < policy.startOrderValidity) return
-        val usable = executors.filter { it.usable(inputs.now) }
-        if (usable.isEmpty() ||
-            usable.any { (row.tickets[it.identifier]?.validUntil ?: Instant.DISTANT_PAST) > inputs.now }
+        if (executors.isEmpty() ||
+            executors.any { (row.tickets[it.identifier]?.validUntil ?: Instant.DISTANT_PAST) > inputs.now }
         ) {
             return
         }
         row.adviceRequestedAt = inputs.now
         adviceRequests +=
-            AdviceRequest(row.job.job.identifier, row.occurrence, row.number, usable.map { it.identifier })
+            AdviceRequest(row.job.job.identifier, row.occurrence, row.number, executors.map { it.identifier })
     }
 }
 
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/StopPlanner.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/StopPlanner.kt
@@ -17,9 +17,14 @@
     private val listings: ListingProcessor,
     private val policy: SchedulingPolicy,
 ) {
-    fun plan(now: Instant): List<Order> {
+    /** Looks at every run, and decides which ones to stop. */
+    fun planStopsOfAllRuns(now: Instant) {
         stopTasksOnLeavingExecutors()
         stopStalledRuns(now)
+    }
+
+    /** Returns the stops to order now. */
+    fun plan(now: Instant): List<Order> {
         val orders = mutableListOf<Order>()
         for ((name, reason) in tables.pendingStops.toList()) {
             val run = tables.task(name)?.active
