Let entries and links bind free ports and report them

Change: entries and link controls listen on port 0 and report their ports; an entry names those that started before it, and the others learn of it from its gossip.

--- a/load/src/main/kotlin/dogwoodgrade/load/ControlFleet.kt
+++ b/load/src/main/kotlin/dogwoodgrade/load/ControlFleet.kt
@@ -22,7 +22,6 @@
 /** Entries in three zones with one log service. Every second entry reaches the log through its own link. */
 internal class ControlFleet(folder: Path, size: Int, entryOptions: List<String>) : AutoCloseable {
     private val fleet = Fleet(folder, entryOptions)
-    private val peerPorts = List(size) { Fleet.freePort() }
     private var changeCount = 0
 
     /** Links between every second entry and the log service. */
@@ -33,12 +32,10 @@
 
     init {
         fleet.startLog()
-        val peers = peerPorts.mapIndexed { index, port -> "$port@${zoneOf(index)}" }
         entries =
             List(size) { index ->
                 val log = if (index % 2 == 1) fleet.startLink(fleet.logPort).also(links::add).port else fleet.logPort
-                val others = peers.filterIndexed { other, _ -> other != index }
-                fleet.startEntry("entry-$index", zoneOf(index), peerPorts[index], log, others)
+                fleet.startEntry("entry-$index", zoneOf(index), log, fleet.entries.map { it.peerWithZone })
             }
         fleet.awaitJoined()
     }
@@ -47,7 +44,7 @@
     val logPorts: Set<Int> get() = links.map { it.port }.toSet() + fleet.logPort
 
     /** Ports on which entries accept gossip from each other. */
-    val gossipPorts: Set<Int> get() = peerPorts.toSet()
+    val gossipPorts: Set<Int> get() = entries.mapTo(mutableSetOf()) { it.peerPort }
 
     private fun zoneOf(index: Int): String = ZONE_NAMES[index % ZONE_NAMES.size]
 
--- a/scenarios/src/main/kotlin/dogwoodgrade/scenarios/Demonstration.kt
+++ b/scenarios/src/main/kotlin/dogwoodgrade/scenarios/Demonstration.kt
@@ -29,23 +29,20 @@
     /** Endpoints by instance name. */
     public val endpoints: MutableMap<String, FleetEndpoint> = mutableMapOf()
 
-    private val peerPorts: Map<String, Int> =
-        listOf("entry-a1", "entry-a2", "entry-b1", "entry-b2").associateWith { Fleet.freePort() }
-
     /** Starts all processes and publishes the configuration with the operator program. */
     public fun start() {
         fleet.startLog()
         fleet.startLiveList()
         listOf("a1", "a2", "b1", "b2").forEach { endpoints[it] = fleet.startEndpoint() }
         fleet.setInstanceStates(endpoints.keys.associateWith { "live" })
-        peerPorts.keys.forEach(::startEntry)
+        listOf("entry-a1", "entry-a2", "entry-b1", "entry-b2").forEach(::startEntry)
         publish()
         fleet.awaitJoined()
     }
 
     private fun startEntry(name: String) {
-        val peers = peerPorts.filterKeys { it != name }.values.map { "$it" }
-        fleet.startEntry(name, zoneOf(name), peerPorts.getValue(name), peers = peers)
+        val earlier = fleet.entries.filter { it.process.isAlive }
+        fleet.startEntry(name, zoneOf(name), peers = earlier.map { "${it.peerPort}" })
     }
 
     private fun zoneOf(entry: String): String = entry.substringAfter('-').take(1)
--- a/scenarios/src/main/kotlin/dogwoodgrade/scenarios/Fleet.kt
+++ b/scenarios/src/main/kotlin/dogwoodgrade/scenarios/Fleet.kt
@@ -10,7 +10,6 @@
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
 import kotlinx.serialization.json.long
-import java.net.ServerSocket
 import java.nio.file.Files
 import java.nio.file.Path
 import java.util.UUID
@@ -21,14 +20,19 @@
  * @property name name of the entry
  * @property zone availability zone of the entry
  * @property process process of the entry
+ * @property peerPort port for other entries
  */
 public class FleetEntry(
     public val name: String,
     public val zone: String,
     public val process: ProgramProcess,
+    public val peerPort: Int,
     private val callerPort: Int,
     private val operatorPort: Int,
 ) {
+    /** Port for other entries with the zone, as the entries that start later state it. */
+    public val peerWithZone: String get() = "$peerPort@$zone"
+
     /** Base URL of the port for callers. */
     public val callerUrl: String get() = "http://127.0.0.1:$callerPort"
 
@@ -77,8 +81,8 @@
 /**
  * Runs stand-ins and entries as processes on one machine, for the demonstration and for tests with real processes.
  *
- * Every process listens on the loopback address, on a port that was free when the process started. [close] ends all
- * processes.
+ * Every process listens on the loopback address, on a port that the operating system assigns and that the process
+ * reports: a port that is looked for beforehand can be taken by another process. [close] ends all processes.
  *
  * @param folder directory of the settings files and the logs
  * @param entryOptions JVM options of the entries
@@ -119,28 +123,26 @@
 
     /** Starts a link stand-in that forwards connections to [targetPort]. */
     public fun startLink(targetPort: Int): FleetLink {
-        val control = freePort()
-        val process = startStandIn("link", "link", "--target", "127.0.0.1:$targetPort", "--control", "$control")
-        return FleetLink(portOf(process), control, process).also(links::add)
+        val process = startStandIn("link", "link", "--target", "127.0.0.1:$targetPort")
+        return FleetLink(portOf(process), namedPorts(process).getValue("control"), process).also(links::add)
     }
 
     /**
-     * Starts an entry and waits until it listens.
+     * Starts an entry and waits until it listens. Entries that started earlier learn of it from its gossip.
      *
      * @param log port of the log service, or of a link to it
-     * @param peers peer ports, as `port` or with their zone as `port@zone`
+     * @param peers peer ports of entries that started earlier, as `port` or with their zone as `port@zone`
      * @param limits content of the table `limits` in the settings file
      */
     public fun startEntry(
         name: String,
         zone: String,
-        peerPort: Int = freePort(),
         log: Int = logPort,
         peers: List<String> = emptyList(),
         limits: String = "",
     ): FleetEntry {
         val settings = folder.resolve("$name-${UUID.randomUUID()}.toml")
-        Files.writeString(settings, settingsText(name, zone, peerPort, log, peers, limits))
+        Files.writeString(settings, settingsText(name, zone, log, peers, limits))
         val process =
             ProgramProcess.start(
                 name,
@@ -150,17 +152,20 @@
                 options = entryOptions,
             )
         processes += process
-        val ports = Regex("""(\w+)=(\d+)""").findAll(process.awaitListening()).associate {
-            it.groupValues[1] to
-                it.groupValues[2].toInt()
-        }
-        return FleetEntry(name, zone, process, ports.getValue("caller"), ports.getValue("operator")).also(entries::add)
+        val ports = namedPorts(process)
+        return FleetEntry(
+            name,
+            zone,
+            process,
+            ports.getValue("peer"),
+            ports.getValue("caller"),
+            ports.getValue("operator"),
+        ).also(entries::add)
     }
 
     private fun settingsText(
         name: String,
         zone: String,
-        peerPort: Int,
         log: Int,
         peers: List<String>,
         limits: String,
@@ -175,7 +180,7 @@
             |[listen]
             |host = "127.0.0.1"
             |callerPort = 0
-            |peerPort = $peerPort
+            |peerPort = 0
             |operatorPort = 0
             |
             |[platform]
@@ -248,6 +253,11 @@
             .start(name, "dogwoodgrade.standins.MainKt", arguments.toList(), folder.resolve("$name.log"))
             .also(processes::add)
 
+    private fun namedPorts(process: ProgramProcess): Map<String, Int> =
+        Regex("""(\w+)=(\d+)""").findAll(process.awaitListening()).associate {
+            it.groupValues[1] to it.groupValues[2].toInt()
+        }
+
     private fun portOf(process: ProgramProcess): Int = process.awaitListening().substringAfterLast(' ').toInt()
 
     public companion object {
@@ -255,9 +265,6 @@
         private const val MAX_PUBLISH_ATTEMPTS = 5
         private const val POLL_INTERVAL_MILLISECONDS = 50L
 
-        /** Returns a port that is currently free; another process can take it before it is used. */
-        public fun freePort(): Int = ServerSocket(0).use { it.localPort }
-
         /**
          * Waits until [condition] holds and fails after [timeoutSeconds].
          *
--- a/scenarios/src/test/kotlin/dogwoodgrade/scenarios/GuaranteesUnderFaultsTest.kt
+++ b/scenarios/src/test/kotlin/dogwoodgrade/scenarios/GuaranteesUnderFaultsTest.kt
@@ -50,9 +50,8 @@
         fleet.startLog()
         val endpoints = List(2) { fleet.startEndpoint(slots = 64) }
         val link = fleet.startLink(fleet.logPort)
-        val ports = List(2) { Fleet.freePort() }
-        val paused = fleet.startEntry("entry-a1", "a", ports[0], log = link.port, peers = listOf("${ports[1]}@b"))
-        val other = fleet.startEntry("entry-b1", "b", ports[1], peers = listOf("${ports[0]}@a"))
+        val paused = fleet.startEntry("entry-a1", "a", log = link.port)
+        val other = fleet.startEntry("entry-b1", "b", peers = listOf(paused.peerWithZone))
         fleet.awaitJoined()
         fleet.configure(endpoints)
         for (team in listOf("granito", "fraser")) {
@@ -79,10 +78,8 @@
     fun `a stop by SIGTERM under load aborts no request, returns the permits and removes the entry`() {
         fleet.startLog()
         val endpoint = fleet.startEndpoint(slots = 64)
-        val ports = List(2) { Fleet.freePort() }
-        val peers = listOf("${ports[0]}@a", "${ports[1]}@a")
-        val leaving = fleet.startEntry("entry-a1", "a", ports[0], peers = peers)
-        val staying = fleet.startEntry("entry-a2", "a", ports[1], peers = peers)
+        val leaving = fleet.startEntry("entry-a1", "a")
+        val staying = fleet.startEntry("entry-a2", "a", peers = listOf(leaving.peerWithZone))
         fleet.awaitJoined()
         fleet.configure(listOf(endpoint))
         val early = List(3 * TEAM_UPPER_LIMIT) { leaving.sendRequest("granito", 1_000) }
@@ -147,8 +144,7 @@
     fun `an entry that starts late gets dropped records from a peer, also with lost responses and duplicates`() {
         fleet.startLog("--retention", "30")
         val endpoint = fleet.startEndpoint()
-        val port = Fleet.freePort()
-        val first = fleet.startEntry("entry-a1", "a", port)
+        val first = fleet.startEntry("entry-a1", "a")
         fleet.configure(listOf(endpoint))
         fleet.setLogFaults("""{"duplicate":3}""")
         repeat(20) {
@@ -156,7 +152,7 @@
             fleet.awaitOffset(fleet.publish(WithdrawKey(TeamName("granito"), KeyDigest.of("key $it"))))
         }
         fleet.setLogFaults("""{"loseAnswers":2,"duplicate":2}""")
-        val late = fleet.startEntry("entry-a2", "a", peers = listOf("$port@a"))
+        val late = fleet.startEntry("entry-a2", "a", peers = listOf(first.peerWithZone))
         fleet.awaitJoined()
         fleet.awaitOffset(fleet.publish(GiveKey(TeamName("granito"), KeyDigest.of("last"))))
         Fleet.awaitTrue("both have the same state") { late.state()["digest"] == first.state()["digest"] }
@@ -169,8 +165,7 @@
     fun `a job whose entry is killed runs again if it is idempotent and is otherwise reported as outcome unknown`() {
         fleet.startLog()
         val endpoint = fleet.startEndpoint()
-        val port = Fleet.freePort()
-        val killed = fleet.startEntry("entry-a1", "a", port)
+        val killed = fleet.startEntry("entry-a1", "a")
         fleet.configure(listOf(endpoint), leaseSeconds = 3)
         val key = mapOf("Authorization" to "Bearer granito")
         val jobs =
@@ -183,7 +178,7 @@
             }
         Fleet.awaitTrue("both jobs run") { endpoint.count("running", "granito") == 2 }
         killed.process.signal("KILL")
-        val other = fleet.startEntry("entry-a2", "a", peers = listOf("$port@a"))
+        val other = fleet.startEntry("entry-a2", "a", peers = listOf(killed.peerWithZone))
         for ((job, expected) in jobs.zip(listOf("finished", "outcome-unknown"))) {
             Fleet.awaitTrue("job is $expected") {
                 val response = HttpCalls.send("GET", "${other.callerUrl}/jobs/$job", "", key)
--- a/scenarios/src/test/kotlin/dogwoodgrade/scenarios/LimitUnderFaultsTest.kt
+++ b/scenarios/src/test/kotlin/dogwoodgrade/scenarios/LimitUnderFaultsTest.kt
@@ -93,16 +93,15 @@
         fleet.startLog()
         val endpoint = fleet.startEndpoint(slots = 64)
         val link = fleet.startLink(fleet.logPort)
-        val ports = List(6) { Fleet.freePort() }
-        val peersOfZonesAAndB = listOf("${ports[0]}@a", "${ports[1]}@a", "${ports[2]}@b", "${ports[3]}@b")
-        val peersOfZoneC = listOf("${ports[4]}@c", "${ports[5]}@c")
         // The entries of zone c do not know the other zones as peers, so cutting their link to the log isolates them.
-        val killed = fleet.startEntry("entry-a1", "a", ports[0], peers = peersOfZonesAAndB)
-        fleet.startEntry("entry-a2", "a", ports[1], peers = peersOfZonesAAndB)
-        val paused = fleet.startEntry("entry-b1", "b", ports[2], peers = peersOfZonesAAndB)
-        fleet.startEntry("entry-b2", "b", ports[3], peers = peersOfZonesAAndB)
-        fleet.startEntry("entry-c1", "c", ports[4], log = link.port, peers = peersOfZoneC)
-        fleet.startEntry("entry-c2", "c", ports[5], log = link.port, peers = peersOfZoneC)
+        val killed = fleet.startEntry("entry-a1", "a")
+        val second = fleet.startEntry("entry-a2", "a", peers = listOf(killed.peerWithZone))
+        val paused =
+            fleet.startEntry("entry-b1", "b", peers = listOf(killed.peerWithZone, second.peerWithZone))
+        val peersOfKilled = listOf(second, paused).map { it.peerWithZone }
+        fleet.startEntry("entry-b2", "b", peers = peersOfKilled + killed.peerWithZone)
+        val firstOfZoneC = fleet.startEntry("entry-c1", "c", log = link.port)
+        fleet.startEntry("entry-c2", "c", log = link.port, peers = listOf(firstOfZoneC.peerWithZone))
         configure(endpoint)
         Fleet.awaitTrue("entries have joined") {
             fleet.entries.all { it.state()["joined"]?.jsonPrimitive?.content == "true" }
@@ -118,7 +117,7 @@
         assertTrue(answered.get() > answeredBefore, "no request succeeded during the faults")
         paused.process.signal("CONT")
         link.setCut(false)
-        startLoad(fleet.startEntry("entry-a1", "a", ports[0], peers = peersOfZonesAAndB), 7)
+        startLoad(fleet.startEntry("entry-a1", "a", peers = peersOfKilled), 7)
         val recoveryStart = System.nanoTime()
         Fleet.awaitTrue("the upper limit is fully used again") { teamCount(endpoint, "running") == UPPER_LIMIT }
         println("the upper limit was fully used ${(System.nanoTime() - recoveryStart) / 1_000_000} ms after the faults")
--- a/scenarios/src/test/kotlin/dogwoodgrade/scenarios/RequestPathTest.kt
+++ b/scenarios/src/test/kotlin/dogwoodgrade/scenarios/RequestPathTest.kt
@@ -18,6 +18,7 @@
 import kotlinx.serialization.json.int
 import kotlinx.serialization.json.jsonPrimitive
 import org.junit.jupiter.api.io.TempDir
+import java.net.ServerSocket
 import java.nio.file.Path
 import kotlin.test.AfterTest
 import kotlin.test.BeforeTest
@@ -39,6 +40,9 @@
     private lateinit var endpoint: FleetEndpoint
     private val key = mapOf("Authorization" to "Bearer secret")
 
+    /** Returns a port on which nothing listens. */
+    private fun closedPort(): Int = ServerSocket(0).use { it.localPort }
+
     @BeforeTest
     fun start() {
         fleet = Fleet(folder)
@@ -101,7 +105,7 @@
     @Test
     fun `an unreachable endpoint is reported as not executed and a broken response is never passed on as complete`() {
         fleet.publish(SetPool(PoolName("lost"), ServiceName("lost"), 8, 64, 5.seconds, 1, 0, false, Version.None))
-        fleet.awaitOffset(addInstance("i2", Fleet.freePort(), "lost"))
+        fleet.awaitOffset(addInstance("i2", closedPort(), "lost"))
         assertRefusal(ResultCode.NoEndpoint, post("/lost/x"))
         endpoint.setFault("cut")
         assertEquals(0, post("/price/x?run=5").status)
--- a/stand-ins/src/main/kotlin/dogwoodgrade/standins/Main.kt
+++ b/stand-ins/src/main/kotlin/dogwoodgrade/standins/Main.kt
@@ -7,7 +7,10 @@
 import kotlinx.cli.ArgType
 import kotlinx.cli.default
 
-/** Starts one stand-in and prints `listening on PORT` as soon as it accepts connections. */
+/**
+ * Starts one stand-in and prints `listening on PORT` as soon as it accepts connections; a link prints
+ * `listening control=PORT on PORT`.
+ */
 fun main(arguments: Array<String>) {
     val parser = ArgParser("stand-in")
     val kind by parser.argument(ArgType.Choice(listOf("log-service", "live-list", "endpoint", "link"), { it }))
@@ -25,16 +28,16 @@
     val control by parser.option(ArgType.Int, "control", description = "control port of a link").default(0)
     parser.parseOrExit(arguments)
     val vertx = Vertx.vertx()
-    val started: Future<Int> =
+    val started: Future<String> =
         when (kind) {
-            "log-service" -> LogStandIn(vertx, rate, retention).start(port).map { it.actualPort() }
-            "live-list" -> LiveListStandIn(vertx, lag.toLong()).start(port).map { it.actualPort() }
-            "endpoint" -> EndpointStandIn(vertx, slots).start(port).map { it.actualPort() }
+            "log-service" -> LogStandIn(vertx, rate, retention).start(port).map { "on ${it.actualPort()}" }
+            "live-list" -> LiveListStandIn(vertx, lag.toLong()).start(port).map { "on ${it.actualPort()}" }
+            "endpoint" -> EndpointStandIn(vertx, slots).start(port).map { "on ${it.actualPort()}" }
             else -> startLink(vertx, target, port, control)
         }
     started.onComplete { result ->
         if (result.succeeded()) {
-            println("listening on ${result.result()}")
+            println("listening ${result.result()}")
         } else {
             System.err.println("stand-in: cannot listen: ${result.cause().message}")
             vertx.close()
@@ -42,7 +45,9 @@
     }
 }
 
-private fun startLink(vertx: Vertx, target: String, port: Int, control: Int): Future<Int> {
+private fun startLink(vertx: Vertx, target: String, port: Int, control: Int): Future<String> {
     val link = LinkStandIn(vertx, target.substringBefore(':'), target.substringAfter(':').toInt())
-    return link.startControl(control).compose { link.start(port) }.map { it.actualPort() }
+    return link.startControl(control).compose { controlServer ->
+        link.start(port).map { "control=${controlServer.actualPort()} on ${it.actualPort()}" }
+    }
 }
