Let weak instances follow a summary of the progress

Change: the owner publishes the states of jobs in a topic of their own once the progress is durable; an instance weaker than the owner follows only that one, and reads the progress if the owner stays silent for 2.2 s. Callers who ask for an unknown job share one read.

--- a/node/src/main/kotlin/dogwoodgrade/node/FleetRecords.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/FleetRecords.kt
@@ -35,6 +35,7 @@
     private const val JOB_PREFIX = "job/"
     private const val CANCELLATION_PREFIX = "cancel/"
     private const val PROGRESS_PREFIX = "progress/"
+    private const val STATE_PREFIX = "state/"
     private const val EXECUTOR_PREFIX = "executor/"
 
     private val logger = KotlinLogging.logger {}
@@ -50,6 +51,8 @@
 
     fun progressKey(job: JobIdentifier): String = PROGRESS_PREFIX + job
 
+    fun stateKey(job: JobIdentifier): String = STATE_PREFIX + job
+
     fun executorKey(executor: ExecutorIdentifier): String = EXECUTOR_PREFIX + executor
 
     fun executorOf(key: String): ExecutorIdentifier? =
@@ -61,6 +64,8 @@
 
     fun progressJobOf(key: String): JobIdentifier? = identifier(key, PROGRESS_PREFIX)
 
+    fun stateJobOf(key: String): JobIdentifier? = identifier(key, STATE_PREFIX)
+
     private fun identifier(key: String, prefix: String): JobIdentifier? =
         if (key.startsWith(prefix)) JobIdentifier(key.removePrefix(prefix)) else null
 
@@ -74,6 +79,15 @@
     fun decodeProgress(value: ByteArray): JobProgress? =
         decode("progress") { json.decodeFromString<ProgressRecord>(value.decodeToString()).toProgress() }
 
+    fun encode(state: JobState): ByteArray = state.name.encodeToByteArray()
+
+    fun decodeState(value: ByteArray): JobState? {
+        val name = value.decodeToString()
+        return JobState.entries
+            .firstOrNull { it.name == name }
+            .also { if (it == null) logger.warn { "records: skipped unknown job state \"$name\"" } }
+    }
+
     fun encode(report: ExecutorReport): ByteArray = json.encodeToString(ExecutorRecord.of(report)).encodeToByteArray()
 
     fun decodeExecutor(identifier: ExecutorIdentifier, value: ByteArray): ExecutorReport? =
--- a/node/src/main/kotlin/dogwoodgrade/node/JobTable.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/JobTable.kt
@@ -16,12 +16,14 @@
  * @property cancelled whether a cancellation is durable
  * @property progressRecord newest progress, or `null` if there is none
  * @property progressOffset offset of the newest progress in the progress topic
+ * @property publishedState newest state in the summary of the progress, or `null` if there is none
  */
 internal data class KnownJob(
     val jobRecord: Lazy<Job?>? = null,
     val cancelled: Boolean = false,
     val progressRecord: Lazy<JobProgress?>? = null,
     val progressOffset: Long = -1,
+    val publishedState: JobState? = null,
 ) {
     /** The accepted job, or `null` if none has been read. */
     val job: Job?
@@ -34,11 +36,15 @@
     /** The state that is reported to callers. */
     val state: JobState
         get() {
-            val recorded = progress?.state ?: JobState.Queued
+            val recorded = laterState(progress?.state ?: JobState.Queued, publishedState ?: JobState.Queued)
             return if (cancelled && !recorded.ended) JobState.Cancelled else recorded
         }
 }
 
+/** Returns the later of two states of one job, which were read from topics that are not read equally far. */
+private fun laterState(first: JobState, second: JobState): JobState =
+    if (second.ended || first == JobState.Queued) second else first
+
 /**
  * All jobs in the log. Every entry instance keeps this table; a new owner builds its schedule from it.
  *
@@ -95,6 +101,18 @@
         jobs[identifier] = knownJob.copy(progressRecord = progress, progressOffset = offset)
     }
 
+    /** Applies a record of the summary of the progress. */
+    @Synchronized
+    fun applyState(record: KeyedRecord) {
+        val identifier = FleetRecords.stateJobOf(record.key) ?: return
+        val state = record.value?.let { FleetRecords.decodeState(it) }
+        if (state != null) {
+            jobs[identifier] = (jobs[identifier] ?: KnownJob()).copy(publishedState = state)
+        } else if (jobs[identifier]?.jobRecord == null) {
+            jobs -= identifier
+        }
+    }
+
     /** Adds a job that this process has made durable. */
     @Synchronized
     fun addAccepted(job: Job) {
--- a/node/src/main/kotlin/dogwoodgrade/node/Node.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/Node.kt
@@ -9,6 +9,7 @@
 import dogwoodgrade.ownership.OwnershipView
 import dogwoodgrade.ownership.asksForHandover
 import dogwoodgrade.ownership.decideClaim
+import dogwoodgrade.ownership.followsProgress
 import dogwoodgrade.ownership.grantsSettledAt
 import dogwoodgrade.platform.AdviceClient
 import dogwoodgrade.platform.AppendOutcome
@@ -16,7 +17,6 @@
 import dogwoodgrade.platform.MachinesClient
 import dogwoodgrade.platform.NodeSettings
 import dogwoodgrade.platform.Producer
-import dogwoodgrade.platform.ReadOutcome
 import dogwoodgrade.platform.StoreClient
 import dogwoodgrade.platform.Topic
 import dogwoodgrade.platform.readOperatorRecord
@@ -25,6 +25,7 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.vertx.core.Vertx
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlin.random.Random
@@ -47,8 +48,8 @@
  */
 private val UNURGENT_READ_PAUSE: Duration = 800.milliseconds
 
-/** Longest wait of a caller for the newest progress; the state that is known is shown then. */
-private val LONGEST_PROGRESS_WAIT: Duration = 300.milliseconds
+/** Longest wait of a caller for a read of the newest records; what is known is shown then. */
+private val LONGEST_READ_WAIT: Duration = 300.milliseconds
 
 /** Pause of the owner between two reads of the jobs topic. */
 private val OWNER_READ_PAUSE: Duration = 10.milliseconds
@@ -138,7 +139,9 @@
         )
     private val jobFollower =
         follower(Topic.Jobs, { if (session == null) UNURGENT_READ_PAUSE else OWNER_READ_PAUSE }) { applyJobRecords(it) }
-    private val progressFollower = follower(Topic.Progress, ::progressReadPause) { applyProgressRecords(it) }
+
+    @Volatile
+    private var stateFollower: TopicFollower? = null
     private val server = CallerServer(vertx, scope, handler::handle, ::ready, components.metrics::text)
 
     @Volatile
@@ -158,7 +161,7 @@
         server.listen(settings.callers, settings.readiness)
         scope.launch { follower(Topic.Operator, { FOLLOWER_READ_PAUSE }) { applyOperatorRecords(it) }.run() }
         scope.launch { jobFollower.run() }
-        scope.launch { progressFollower.run() }
+        scope.launch { followStates() }
         scope.launch { intake.run() }
         scope.launch { claimWhenDue() }
         logger.info {
@@ -170,13 +173,33 @@
     private fun follower(topic: Topic, pause: () -> Duration, apply: suspend (FollowedRecords) -> Unit) =
         TopicFollower(components.store, topic, clock, pause, components.storeAvailability, apply)
 
-    /** Instances that are weaker than the owner leave it to others to notice its end soon. */
-    private fun progressReadPause(): Duration {
-        val ownerCapacity = components.ownership
-            .view()
-            ?.record
-            ?.capacity ?: 0.0
-        return if (settings.processorCores < ownerCapacity) UNURGENT_READ_PAUSE else FOLLOWER_READ_PAUSE
+    /** Follows the progress, or only its summary as long as this instance is weaker than the owner. */
+    private suspend fun followStates() {
+        while (true) {
+            val whole = followsProgress(components.ownership.summary(), candidate, policy, clock.now())
+            val follower =
+                if (whole) {
+                    follower(Topic.Progress, { FOLLOWER_READ_PAUSE }) { applyProgressRecords(it) }
+                } else {
+                    follower(Topic.States, { UNURGENT_READ_PAUSE }) { applyStateRecords(it) }
+                }
+            stateFollower = follower
+            logger.info { "node: follows job states whole=$whole owner=${components.ownership.summary()?.record}" }
+            coroutineScope {
+                val reading = launch { follower.run() }
+                do {
+                    follower.awaitRead(FOLLOWER_READ_PAUSE)
+                    val view = components.ownership.summary()
+                } while (session != null || followsProgress(view, candidate, policy, clock.now()) == whole)
+                reading.cancel()
+            }
+            if (whole) components.ownership.stopFollowing()
+        }
+    }
+
+    private fun applyStateRecords(followed: FollowedRecords) {
+        followed.records.forEach { components.jobs.applyState(it) }
+        components.ownership.applySummary(followed, clock.now())
     }
 
     private fun applyOperatorRecords(followed: FollowedRecords) {
@@ -204,16 +227,11 @@
         components.ownership.applyRecords(followed, clock.now())
     }
 
-    private suspend fun readNewJobs(): Boolean {
-        val outcome = components.store.read(Topic.Jobs, components.jobs.readTo(), Duration.ZERO)
-        if (outcome !is ReadOutcome.Records) return false
-        outcome.records.forEach { components.jobs.applyJob(it) }
-        return outcome.nextOffset >= outcome.endOffset
-    }
+    private suspend fun readNewJobs(): Boolean = jobFollower.catchUp(LONGEST_READ_WAIT)
 
     private suspend fun readNewProgress() {
         // The owner applies its own appends.
-        if (session == null) progressFollower.catchUp(LONGEST_PROGRESS_WAIT)
+        if (session == null) stateFollower?.catchUp(LONGEST_READ_WAIT)
     }
 
     private suspend fun claimWhenDue() {
@@ -275,6 +293,9 @@
     /** Returns the epoch of the term in which this process owns the fleet, or 0 if it does not. */
     fun ownedEpoch(): Long = session?.epoch ?: 0
 
+    /** Returns whether this process follows the whole progress of the owner instead of its summary. */
+    fun readsWholeProgress(): Boolean = components.ownership.view() != null
+
     /** Stops gracefully: resigns ownership, answers open requests, and returns within the grace period. */
     suspend fun stop() {
         logger.info { "node: stopping unanswered=${server.activeRequestCount()} owner=${session != null}" }
--- a/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
@@ -85,8 +85,10 @@
             node.storeAvailability,
             claimSequence,
             { forgotten.trySend(it) },
+            { jobs -> jobs.forEach { (job, progress) -> states.publish(job, progress.state) } },
             ::onDurable,
         )
+    private val states = StatePublisher(node.store, node.storeAvailability, clock, record)
     private val workers =
         OrderWorkers(executors, fleet, record.epoch, clock, node.metrics) { changed(it) }
     private val reports = mutableMapOf<ExecutorIdentifier, ExecutorReport>()
@@ -117,6 +119,7 @@
             catchUp()
             loadJobs()
             workers.start(this)
+            launch { states.run() }
             val list =
                 TopicFollower(node.store, Topic.Executors, clock, { LIVE_LIST_READ_PAUSE }, node.storeAvailability) {
                     applyLiveListRecords(it, this)
@@ -137,6 +140,7 @@
                 if (!dropped) continue
                 node.intake.append(FleetRecords.cancellationKey(job), null, JOB_REMOVAL_TIME_LIMIT)
                 writer.enqueueRecord(FleetRecords.progressKey(job), null)
+                states.remove(job)
             }
         }
     }
@@ -169,6 +173,8 @@
                 if (job.cancelled) schedule.cancel(identifier, now)
             }
             val ended = node.jobs.ended()
+            // The previous owner may have ended between the append of the progress and that of the state.
+            (unfinished.keys + ended).forEach { job -> node.jobs[job]?.let { states.publish(job, it.state) } }
             schedule.recordEndedJobs(ended, now)
             logger.info { "owner: loaded unfinished=${unfinished.size} ended=${ended.size}" }
         }
--- a/node/src/main/kotlin/dogwoodgrade/node/OwnerWriter.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnerWriter.kt
@@ -9,6 +9,7 @@
 import dogwoodgrade.platform.Topic
 import dogwoodgrade.scheduling.ExecutorIdentifier
 import dogwoodgrade.scheduling.JobIdentifier
+import dogwoodgrade.scheduling.JobProgress
 import dogwoodgrade.scheduling.Order
 import dogwoodgrade.scheduling.ProgressBatch
 import io.github.oshai.kotlinlogging.KotlinLogging
@@ -38,6 +39,7 @@
  * written before it.
  *
  * @param claimSequence sequence number of the claim, the first append of the epoch
+ * @param onProgress called with the progress of jobs that has become durable
  * @param onDurable called after each append with the starts to order now, and the executors with durable ends
  */
 internal class OwnerWriter(
@@ -51,6 +53,7 @@
     storeAvailability: StoreAvailability,
     claimSequence: Long,
     private val onForgotten: (List<JobIdentifier>) -> Unit,
+    private val onProgress: (Map<JobIdentifier, JobProgress>) -> Unit,
     private val onDurable: (List<Order.Start>, Set<ExecutorIdentifier>) -> Unit,
 ) {
     private val appends = RepeatedAppend(store, storeAvailability, clock, APPEND_RETRY_PAUSE)
@@ -126,6 +129,7 @@
         ownership.updateLease(Lease(record.epoch, appended.sentAt))
         if (batch != null) {
             batch.progress.forEach { (job, progress) -> jobs.applyProgress(job, progress, appended.endOffset - 1) }
+            onProgress(batch.progress)
             if (batch.forgotten.isNotEmpty()) onForgotten(batch.forgotten)
         }
         val starts = if (batch == null) emptyList() else startsAfter(batch)
--- a/node/src/main/kotlin/dogwoodgrade/node/OwnershipTable.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnershipTable.kt
@@ -22,6 +22,7 @@
     private var recordSince: Instant = Instant.DISTANT_PAST
     private var handover: HandoverRequest? = null
     private var nextOffset: Long? = null
+    private var summaryRead = false
     private var lease: Lease? = null
 
     /** Applies records of the progress topic. Each one is a sign of life of the owner: lower epochs cannot append. */
@@ -29,7 +30,7 @@
     fun applyRecords(followed: FollowedRecords, now: Instant) {
         if (nextOffset == null) recordSince = now
         for (entry in followed.records) applyOwner(entry, now)
-        if (followed.records.isNotEmpty()) signAt = now
+        recordSign(followed, now)
         nextOffset = followed.nextOffset
         if (followed.reachedEnd) readAt = now
     }
@@ -52,7 +53,33 @@
     @Synchronized
     fun handoverOf(epoch: Long): HandoverRequest? = handover?.takeIf { it.epoch == epoch }
 
-    /** Returns the known ownership, or `null` if the topic has not been read. */
+    /** Records that the owner's progress is no longer read, so that this process knows too little for a claim. */
+    @Synchronized
+    fun stopFollowing() {
+        nextOffset = null
+    }
+
+    /** Applies records of the summary of the progress, each of which is a sign of life of the owner. */
+    @Synchronized
+    fun applySummary(followed: FollowedRecords, now: Instant) {
+        if (!summaryRead) recordSince = now
+        summaryRead = true
+        for (entry in followed.records) applyOwner(entry, now)
+        recordSign(followed, now)
+    }
+
+    /** A snapshot has records of unknown age, which are a sign of life only if nothing else is known of the owner. */
+    private fun recordSign(followed: FollowedRecords, now: Instant) {
+        val ageKnown = !followed.snapshot || signAt == Instant.DISTANT_PAST
+        if (followed.records.isNotEmpty() && ageKnown) signAt = now
+    }
+
+    /** Returns what is known of the owner from the progress or its summary, or `null` if neither has been read. */
+    @Synchronized
+    fun summary(): OwnershipView? =
+        if (summaryRead || nextOffset != null) OwnershipView(record, signAt, readAt, recordSince) else null
+
+    /** Returns the known ownership, or `null` if the topic is not read. */
     @Synchronized
     fun view(): OwnershipView? = if (nextOffset == null) null else OwnershipView(record, signAt, readAt, recordSince)
 
--- a/node/src/test/kotlin/dogwoodgrade/node/NodePathTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/NodePathTest.kt
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
@@ -77,6 +78,27 @@
             assertEquals(18, executors.sumOf { it.startedRuns.size })
         }
 
+    /**
+     * Guards against weak instances that fall behind because the whole progress exceeds what their link carries, and
+     * against a fleet without an owner when no stronger instance is left.
+     */
+    @Test
+    fun `a weak instance shows states that it reads from the summary, and takes over if no other does`() =
+        onPlatform(nodes = 0) {
+            awaitReady(startNode("entry-0", processorCores = 1.5))
+            await("entry-0 owns the fleet") { nodes[0].isOwner() }
+            awaitReady(startNode("entry-1", processorCores = 0.3))
+            assertEquals(200, call(nodes[1], "POST", "/queue/a1", TestPlatform.TWO_STEPS).first)
+            await("completed") { state(nodes[1], "a1") == """{"state":"completed"}""" }
+            assertFalse(nodes[1].node.readsWholeProgress(), "the weak instance reads the whole progress")
+            assertEquals(200, call(nodes[1], "POST", "/queue/a2", TestPlatform.TWO_STEPS).first)
+            nodes.removeAt(0).kill()
+            await("entry-1 owns the fleet") { nodes[0].isOwner() }
+            await("a2 completed") { state(nodes[0], "a2") == """{"state":"completed"}""" }
+            assertEquals("""{"state":"completed"}""", state(nodes[0], "a1"))
+            assertEquals(6, executors.sumOf { it.startedRuns.size })
+        }
+
     @Test
     fun `a submission whose append got no answer is not refused and runs once`() =
         onPlatform(nodes = 2) {
--- a/node/src/test/kotlin/dogwoodgrade/node/TablesTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/TablesTest.kt
@@ -1,6 +1,7 @@
 package dogwoodgrade.node
 
 import dogwoodgrade.capacity.MaintenanceWave
+import dogwoodgrade.ownership.HandoverRequest
 import dogwoodgrade.ownership.Lease
 import dogwoodgrade.ownership.OwnershipPolicy
 import dogwoodgrade.ownership.OwnershipRecord
@@ -75,8 +76,10 @@
         val report =
             ExecutorReport(ExecutorIdentifier("i"), 7, "pool", "h:1", "z", false, Resources(1, 2, 3), listOf("a"))
         assertEquals(report, FleetRecords.decodeExecutor(report.identifier, FleetRecords.encode(report)))
-        val owner = OwnershipRecord(3, "entry", "life", true)
+        val owner = OwnershipRecord(3, "entry", "life", true, 0.75, "other")
         assertEquals(owner, FleetRecords.decodeOwner(FleetRecords.encode(owner)))
+        val request = HandoverRequest(3, "entry")
+        assertEquals(request, FleetRecords.decodeHandover(FleetRecords.encode(request)))
     }
 
     @Test
@@ -124,6 +127,32 @@
         assertEquals(JobState.Completed, table[identifier]?.state)
     }
 
+    private fun stateRecord(state: JobState?) =
+        KeyedRecord(FleetRecords.stateKey(identifier), state?.let { FleetRecords.encode(it) }, 0)
+
+    /** Guards against a job that is shown as active again because one of two topics has been read less far. */
+    @Test
+    fun `the later one of the published state and the state of the progress is shown`() {
+        val table = JobTable()
+        table.applyJob(jobRecord())
+        table.applyState(stateRecord(JobState.Active))
+        assertEquals(JobState.Active, table[identifier]?.state)
+        table.applyProgress(identifier, JobProgress(JobState.Completed), 2)
+        table.applyState(stateRecord(JobState.Active))
+        assertEquals(JobState.Completed, table[identifier]?.state)
+    }
+
+    @Test
+    fun `a published state that is removed does not remove its job`() {
+        val table = JobTable()
+        table.applyJob(jobRecord())
+        table.applyState(stateRecord(JobState.Completed))
+        table.applyState(stateRecord(null))
+        assertEquals(JobState.Completed, table[identifier]?.state)
+        table.applyState(KeyedRecord(FleetRecords.stateKey(identifier), "Nothing".encodeToByteArray(), 0))
+        assertEquals(JobState.Completed, table[identifier]?.state)
+    }
+
     @Test
     fun `jobs that have not started are pending`() {
         val table = JobTable()
@@ -195,6 +224,20 @@
         assertEquals(3, table.view()?.record?.epoch)
     }
 
+    /** Guards against a silent owner that counts as alive whenever its records are read again. */
+    @Test
+    fun `a snapshot is a sign of life only of an owner of which nothing else is known`() {
+        val table = OwnershipTable(OwnershipPolicy())
+        val owner = KeyedRecord(FleetRecords.OWNER_KEY, FleetRecords.encode(OwnershipRecord(3, "e", "l", false)), 3)
+        val snapshot = FollowedRecords(listOf(owner), true, 4, true)
+        table.applySummary(snapshot, now)
+        assertEquals(now, table.summary()?.ownerSeenAt)
+        table.applyRecords(snapshot, now + 5.seconds)
+        assertEquals(now, table.view()?.ownerSeenAt)
+        table.applyRecords(snapshot.copy(snapshot = false), now + 6.seconds)
+        assertEquals(now + 6.seconds, table.view()?.ownerSeenAt)
+    }
+
     @Test
     fun `a suspension takes the lease away until a write is confirmed`() {
         val table = OwnershipTable(OwnershipPolicy())
--- a/ownership/src/main/kotlin/dogwoodgrade/ownership/Ownership.kt
+++ b/ownership/src/main/kotlin/dogwoodgrade/ownership/Ownership.kt
@@ -86,6 +86,25 @@
     return claim(ClaimReason.OwnerSilent)
 }
 
+/**
+ * Returns whether [candidate] reads the whole progress, without which it cannot take over, or only its summary.
+ *
+ * The whole progress exceeds what the link of a weak machine carries. Such an instance reads it only if no stronger one
+ * has taken over from a silent owner.
+ *
+ * @param view what is known of the owner from either of them, or `null` before the summary has been read
+ */
+public fun followsProgress(
+    view: OwnershipView?,
+    candidate: Candidate,
+    policy: OwnershipPolicy,
+    now: Instant,
+): Boolean {
+    if (view == null) return false
+    val record = view.record ?: return true
+    return candidate.capacity >= record.capacity || now - view.ownerSeenAt >= policy.ownerTimeout + policy.summaryDelay
+}
+
 /** Returns whether [candidate] asks the owner to resign in its favour. */
 public fun asksForHandover(
     view: OwnershipView,
--- a/ownership/src/main/kotlin/dogwoodgrade/ownership/OwnershipPolicy.kt
+++ b/ownership/src/main/kotlin/dogwoodgrade/ownership/OwnershipPolicy.kt
@@ -20,6 +20,8 @@
  * @property successorDelay time for which the other candidates leave the claim to the successor that an owner named
  * @property handoverRatio ratio of its processor cores to the owner's from which a candidate asks for a handover
  * @property handoverDelay time for which an owner is left in place before a stronger candidate asks for a handover
+ * @property summaryDelay additional silence of the owner after which an instance that reads only the summary of its
+ * progress reads all of it
  * @property maximumClockDrift largest relative error between the rates of two clocks
  */
 public data class OwnershipPolicy(
@@ -32,6 +34,7 @@
     public val successorDelay: Duration = 600.milliseconds,
     public val handoverRatio: Double = 1.5,
     public val handoverDelay: Duration = 1000.milliseconds,
+    public val summaryDelay: Duration = 1000.milliseconds,
     public val maximumClockDrift: Double = 0.02,
 ) {
     init {
--- a/ownership/src/test/kotlin/dogwoodgrade/ownership/OwnershipTest.kt
+++ b/ownership/src/test/kotlin/dogwoodgrade/ownership/OwnershipTest.kt
@@ -110,6 +110,18 @@
         }
     }
 
+    @Test
+    fun `an instance weaker than the owner follows the whole progress only when the owner is silent for long`() {
+        val strong = weakOwner.copy(capacity = 1.5)
+        val view = OwnershipView(strong, now, now)
+        val weak = candidate.copy(capacity = 0.36)
+        assertFalse(followsProgress(null, weak, policy, now))
+        assertTrue(followsProgress(OwnershipView(null, now, now), weak, policy, now))
+        assertFalse(followsProgress(view, weak, policy, now + policy.ownerTimeout))
+        assertTrue(followsProgress(view, weak, policy, now + policy.ownerTimeout + policy.summaryDelay))
+        assertTrue(followsProgress(view, candidate.copy(capacity = 1.5), policy, now))
+    }
+
     @Test
     fun `an owner stops giving orders before another one may take over`() {
         val lease = Lease(1, now)
