Answer for an unknown job only after a read that was sent lately

Change: callers who ask for an unknown job share one read of the jobs topic, which is sent when the first of them asks and ends within 2 s. Names of the platform that the class archive and the start used move into platform/.

--- a/node/src/main/kotlin/dogwoodgrade/node/ClassArchive.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/ClassArchive.kt
@@ -1,10 +1,8 @@
 package dogwoodgrade.node
 
 import dogwoodgrade.ownership.OwnershipRecord
-import dogwoodgrade.platform.KeyedRecord
-import dogwoodgrade.platform.SettingsOutcome
-import dogwoodgrade.platform.readNodeSettings
-import dogwoodgrade.platform.readOperatorRecord
+import dogwoodgrade.platform.sampleNodeSettings
+import dogwoodgrade.platform.sampleOperatorRecord
 import dogwoodgrade.scheduling.Job
 import dogwoodgrade.scheduling.JobIdentifier
 import dogwoodgrade.scheduling.JobProgress
@@ -31,11 +29,7 @@
 
 /** Loads the classes that a start uses, on loopback and without a platform; the JVM archives them at exit. */
 internal fun loadClassesForArchive() {
-    val callers = freePort()
-    val text =
-        """{"node-name":"archive","zone":"a","listen":{"frontend":"127.0.0.1:$callers",
-        "readiness":"127.0.0.1:${freePort()}"},"platform":{"address":"127.0.0.1:$callers"}}"""
-    val settings = (readNodeSettings(text) as SettingsOutcome.Valid).settings
+    val settings = sampleNodeSettings(freePort(), freePort())
     val node = Node(settings, Vertx.vertx(), CoroutineScope(SupervisorJob() + Dispatchers.Default))
     runBlocking {
         node.start()
@@ -45,8 +39,7 @@
 }
 
 private fun useRecords() {
-    val configuration = """{"version":1,"routes":[],"services":[],"tenants":[]}"""
-    readOperatorRecord(KeyedRecord("config", configuration.encodeToByteArray(), 0))
+    sampleOperatorRecord()
     val now = Instant.fromEpochMilliseconds(0)
     val identifier = JobIdentifier("archive")
     val job = Job(identifier, "queue", "pool", null, "", listOf(Step(1, Resources(1, 1))), null, now)
--- a/node/src/main/kotlin/dogwoodgrade/node/Main.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/Main.kt
@@ -1,6 +1,7 @@
 package dogwoodgrade.node
 
 import dogwoodgrade.platform.NodeSettings
+import dogwoodgrade.platform.SETTINGS_VARIABLE
 import dogwoodgrade.platform.SettingsOutcome
 import dogwoodgrade.platform.readNodeSettings
 import io.github.oshai.kotlinlogging.KotlinLogging
@@ -17,9 +18,6 @@
 
 private val logger = KotlinLogging.logger {}
 
-/** Environment variable with the path of the settings file. */
-private const val SETTINGS_VARIABLE = "DOGWOODGRADE_BOOT"
-
 /** Exit status for invalid settings; docs/result-codes.md lists the codes. */
 private const val INVALID_SETTINGS_STATUS = 40
 
--- a/node/src/main/kotlin/dogwoodgrade/node/Node.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/Node.kt
@@ -17,6 +17,7 @@
 import dogwoodgrade.platform.MachinesClient
 import dogwoodgrade.platform.NodeSettings
 import dogwoodgrade.platform.Producer
+import dogwoodgrade.platform.ReadOutcome
 import dogwoodgrade.platform.StoreClient
 import dogwoodgrade.platform.Topic
 import dogwoodgrade.platform.readOperatorRecord
@@ -25,9 +26,12 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.vertx.core.Vertx
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -51,6 +55,12 @@
 /** Longest wait of a caller for a read of the newest records; what is known is shown then. */
 private val LONGEST_READ_WAIT: Duration = 300.milliseconds
 
+/**
+ * Longest wait of a caller for a read of the newest jobs. Such a read ends within twice that time, which is less than
+ * the 3 s after which the platform expects an accepted job to be known everywhere.
+ */
+private val LONGEST_JOB_READ_WAIT: Duration = 1.seconds
+
 /** Pause of the owner between two reads of the jobs topic. */
 private val OWNER_READ_PAUSE: Duration = 10.milliseconds
 
@@ -140,6 +150,9 @@
     private val jobFollower =
         follower(Topic.Jobs, { if (session == null) UNURGENT_READ_PAUSE else OWNER_READ_PAUSE }) { applyJobRecords(it) }
 
+    @Volatile
+    private var jobRead: Deferred<Boolean>? = null
+
     @Volatile
     private var stateFollower: TopicFollower? = null
     private val server = CallerServer(vertx, scope, handler::handle, ::ready, components.metrics::text)
@@ -227,7 +240,23 @@
         components.ownership.applyRecords(followed, clock.now())
     }
 
-    private suspend fun readNewJobs(): Boolean = jobFollower.catchUp(LONGEST_READ_WAIT)
+    /**
+     * Adds the records that the log has beyond the job table. Callers share a read that is under way, since all of them
+     * ask for a job that is missing because this process is behind.
+     *
+     * @return whether a read that was sent no more than [LONGEST_JOB_READ_WAIT] ago has reached the end of the topic
+     */
+    private suspend fun readNewJobs(): Boolean {
+        val read = jobRead?.takeIf { it.isActive } ?: scope.async { readJobsOnce() }.also { jobRead = it }
+        return withTimeoutOrNull(LONGEST_JOB_READ_WAIT) { read.await() } ?: false
+    }
+
+    private suspend fun readJobsOnce(): Boolean {
+        val outcome = components.store.read(Topic.Jobs, components.jobs.readTo(), Duration.ZERO)
+        if (outcome !is ReadOutcome.Records) return false
+        outcome.records.forEach { components.jobs.applyJob(it) }
+        return outcome.nextOffset >= outcome.endOffset
+    }
 
     private suspend fun readNewProgress() {
         // The owner applies its own appends.
--- a/node/src/main/kotlin/dogwoodgrade/node/TopicFollower.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/TopicFollower.kt
@@ -22,12 +22,6 @@
 /** Time in which the records of a read arrive, unless the store or the link is slow. */
 private val LONGEST_TRANSFER_TIME: Duration = 10.milliseconds
 
-/**
- * Time after a read to the end in which a topic counts as read to its end: a pause and a read that waits for records.
- * Shorter than the 3 s within which the platform expects an accepted job to be known everywhere.
- */
-private val LONGEST_CURRENT_TIME: Duration = 2500.milliseconds
-
 /** Pause after a failed read; the store charges for refused calls too. */
 private val READ_RETRY_PAUSE: Duration = 150.milliseconds
 
@@ -66,9 +60,6 @@
     private val readSignal = Channel<Unit>(Channel.CONFLATED)
     private val completedReads = MutableStateFlow(0L)
 
-    @Volatile
-    private var endReachedAt = Instant.DISTANT_PAST
-
     /** Whether no read is under way, so that the topic may have records that have not been asked for. */
     @Volatile
     private var pausing = false
@@ -84,15 +75,12 @@
      *
      * All callers wait for the same read. A read that is under way returns as soon as there is a record, so that one
      * that does not return soon has nothing to wait for.
-     *
-     * @return whether the topic has lately been read to its end
      */
-    suspend fun catchUp(limit: Duration): Boolean {
+    suspend fun catchUp(limit: Duration) {
         val before = completedReads.value
         val longestWait = if (pausing) limit else minOf(limit, LONGEST_TRANSFER_TIME)
         endPause()
         withTimeoutOrNull(longestWait) { completedReads.first { it > before } }
-        return clock.now() - endReachedAt < LONGEST_CURRENT_TIME
     }
 
     /** Starts the next read at once if this follower pauses. */
@@ -122,7 +110,6 @@
                 }
                 is ReadOutcome.Records -> {
                     receive(outcome, from)
-                    if (outcome.nextOffset >= outcome.endOffset) endReachedAt = clock.now()
                     completedReads.value++
                     // Somebody waits for the end of the next read, which therefore must not wait for records.
                     if (pauseOrSignal()) wait = Duration.ZERO
