Reserve a machine before its maintenance, and skip idle executors in a pass

Cause: the order of a maintenance relied on a view taken before the list of machines was read; a long-running task planned in between would be ended by it (AVAIL). Pace and stall checks looked up the step of every run. Change: the order reserves the executor under the fleet lock and waits if a long-running task may exist on it; passes skip executors without runs on spare capacity and runs with recent progress.

--- a/node/src/main/kotlin/dogwoodgrade/node/MachineLoop.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/MachineLoop.kt
@@ -140,9 +140,11 @@
             reportStatus(wave.number, completed = false)
             retire(empty, machines)
             for (machine in decision.maintain) {
+                val due = machines.getValue(machine)
+                val reserved = due.executor?.let { executor -> fleet.withSchedule { it.reserveForMaintenance(executor) } }
                 val remaining = remainingOrderTime()
-                if (remaining > Duration.ZERO) {
-                    orderMaintenance(client, wave.number, machines.getValue(machine), remaining)
+                if (reserved != false && remaining > Duration.ZERO) {
+                    orderMaintenance(client, wave.number, due, remaining)
                 }
             }
         }
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ExecutorRow.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ExecutorRow.kt
@@ -19,6 +19,9 @@
 
     /** Number of [runs] that belong to long-running tasks. */
     var longRuns: Int = 0
+
+    /** Number of [runs] that use spare capacity. */
+    var spareRuns: Int = 0
     var used: Resources = Resources.None
     var clock: Duration? = null
     var clockReadAt: Instant = Instant.DISTANT_PAST
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetTables.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetTables.kt
@@ -70,6 +70,7 @@
             it.runs[task.name] = run
             it.used += step.step.reserved
             if (step.step.longRunning) it.longRuns++
+            if (step.step.usesSpareCapacity) it.spareRuns++
         }
         addUse(step.job.job.team, step.step.request)
         if (step.job.state == JobState.Queued) step.job.state = JobState.Active
@@ -87,6 +88,7 @@
             if (it.runs.remove(task.name) != null && step != null) {
                 it.used -= step.step.reserved
                 if (step.step.longRunning) it.longRuns--
+                if (step.step.usesSpareCapacity) it.spareRuns--
                 poolsToPlan += it.report.pool
             }
         }
@@ -97,6 +99,7 @@
     fun abandon(executor: ExecutorRow, task: TaskRow, run: ActiveRun) {
         val step = stepOf(task.name) ?: return
         executor.runs -= task.name
+        if (step.step.usesSpareCapacity) executor.spareRuns--
         executor.abandoned[task.name] = AbandonedRun(run, step.step, step.job.job.team)
         task.active = null
         task.abandoned = StartedRun(run.executor, run.run)
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ListingProcessor.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ListingProcessor.kt
@@ -72,6 +72,7 @@
         executor.runs.clear()
         executor.used = Resources.None
         executor.longRuns = 0
+        executor.spareRuns = 0
     }
 
     private fun processEnd(executor: ExecutorRow, end: ListedEnd, now: Instant) {
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/PaceController.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/PaceController.kt
@@ -25,7 +25,7 @@
 ) {
     fun plan(now: Instant): List<Order.Pace> =
         tables.executors.values
-            .filter { it.reachable }
+            .filter { it.reachable && it.spareRuns > 0 }
             .flatMap { plan(it, now) }
 
     private fun plan(executor: ExecutorRow, now: Instant): List<Order.Pace> {
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
@@ -154,6 +154,17 @@
         return true
     }
 
+    /**
+     * Stops new tasks on [executor] so that the maintenance of its machine can begin. Returns `false` if long-running
+     * tasks may exist on it, which have to be moved first. A view of the fleet does not show what was planned since.
+     */
+    public fun reserveForMaintenance(executor: ExecutorIdentifier): Boolean {
+        val row = tables.executors[executor] ?: return true
+        if (row.longRuns > 0) return false
+        row.retiring = true
+        return true
+    }
+
     /** Removes an executor that has ended, whether by an order of this owner or not: no run exists on it. */
     public fun removeExecutor(executor: ExecutorIdentifier, now: Instant) {
         val row = tables.executors[executor] ?: return
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/StopPlanner.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/StopPlanner.kt
@@ -77,6 +77,7 @@
             if (!executor.reachable) continue
             for ((name, run) in executor.runs) {
                 if (run.phase != RunPhase.Running || run.pace == 0) continue
+                if (now - run.percentSince <= minOf(policy.stallTimeout, WARM_UP_TIME_LIMIT)) continue
                 val step = tables.stepOf(name) ?: continue
                 if (!stalled(step, run, now)) continue
                 tables.pendingStops[name] = StopReason.Stalled
--- a/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SchedulerTest.kt
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SchedulerTest.kt
@@ -2,6 +2,7 @@
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertIs
 import kotlin.test.assertNull
 import kotlin.test.assertTrue
@@ -60,6 +61,36 @@
     private fun job(name: String, width: Int = 1, step: Step = Step(1, Resources(4_000, 1_000), 1.seconds)): Job =
         Job(JobIdentifier(name), "queue", "pool", "team", "payload", listOf(step.copy(count = width)), null, now)
 
+    /** Guards against maintenance that ends a long-running task which started after its machine was found empty. */
+    @Test
+    fun `a machine is not reserved for maintenance while a long-running task may exist on it`() {
+        val scheduler = scheduler(report("x"))
+        val long = Step(1, Resources(4_000, 1_000), longRunning = true, unavailabilityBudget = 1)
+        scheduler.accept(job("a", step = long), null, now, now)
+        scheduler.plan(now, now, forever, emptySet())
+        assertFalse(scheduler.reserveForMaintenance(ExecutorIdentifier("x")))
+        scheduler.cancel(JobIdentifier("a"), now)
+        makeDurable(scheduler)
+        assertTrue(scheduler.reserveForMaintenance(ExecutorIdentifier("x")))
+        scheduler.accept(job("b"), null, now, now)
+        assertTrue(starts(scheduler).isEmpty(), "nothing starts on a reserved executor")
+    }
+
+    /** Guards against tasks that wait for the next look at the whole fleet although only their pool has changed. */
+    @Test
+    fun `what becomes ready or free between two full passes is planned at once`() {
+        val executor = report("x", cores = 4)
+        val scheduler = scheduler(executor)
+        scheduler.plan(now, now, forever, emptySet())
+        now += 8.milliseconds
+        scheduler.accept(job("a"), null, now, now)
+        scheduler.accept(job("b"), null, now, now)
+        val first = starts(scheduler).single()
+        now += 8.milliseconds
+        list(scheduler, executor, ended = listOf(ListedEnd(1, first.task, first.run, RunEnding.Done, "")))
+        assertEquals("b", starts(scheduler).single().task.job.text)
+    }
+
     @Test
     fun `a start is ordered only once its run is durable`() {
         val scheduler = scheduler(report("x"))
