Bound the starts that wait to be sent, and believe an order by its effect

A confirmed maintenance removed the executor that its machine had at the time: the platform also confirms an order that was executed before, by an owner whose record was lost, and the runs of the new executor were then started again elsewhere and the executor ignored from then on. An executor whose machine was ordered away is removed when the list of machines shows it.

--- a/node/src/main/kotlin/dogwoodgrade/node/MachineLoop.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/MachineLoop.kt
@@ -6,12 +6,15 @@
 import dogwoodgrade.capacity.MachineMove
 import dogwoodgrade.capacity.MachineState
 import dogwoodgrade.capacity.MaintenanceOrder
+import dogwoodgrade.capacity.OpenOrder
+import dogwoodgrade.capacity.OrderSettlement
 import dogwoodgrade.capacity.PoolDemand
 import dogwoodgrade.capacity.SizingPlan
 import dogwoodgrade.capacity.SizingPolicy
 import dogwoodgrade.capacity.WaveProgress
 import dogwoodgrade.capacity.planMaintenance
 import dogwoodgrade.capacity.planPoolSizes
+import dogwoodgrade.capacity.settlementOf
 import dogwoodgrade.platform.AppendOutcome
 import dogwoodgrade.platform.MachineOutcome
 import dogwoodgrade.platform.MachinesClient
@@ -78,8 +81,8 @@
                     .coerceAtLeast(1),
         )
 
-    /** Executors whose machines may have been moved, or may still be, by an order without an answer. */
-    private val possiblyMoved = mutableSetOf<ExecutorIdentifier>()
+    /** Orders that end an executor, until the list of machines shows whether they have. */
+    private val openOrders = mutableMapOf<ExecutorIdentifier, OpenOrder>()
     private var surplusSince = emptyMap<String, Instant>()
     private var loadLoggedAt = Instant.DISTANT_PAST
 
@@ -91,6 +94,7 @@
             val view = fleet.withSchedule { it.fleetView(clock.now(), clock.wallTime()) }
             logLoad(view)
             client.machines()?.associateBy { it.name }?.let { machines ->
+                settleOrders(machines)
                 maintainMachines(client, machines, view)
                 resizePools(client, machines, view)
             }
@@ -98,6 +102,25 @@
         }
     }
 
+    /** Removes the executors that orders have ended, and gives back those that a confirmed order has not ended. */
+    private fun settleOrders(machines: Map<String, Machine>) {
+        val now = clock.now()
+        val listed = machines.values.filter { it.state == MachineState.Up }.mapNotNullTo(mutableSetOf()) { it.executor }
+        for ((executor, order) in openOrders.toMap()) {
+            when (settlementOf(order, executor in listed, now)) {
+                OrderSettlement.Open -> Unit
+                OrderSettlement.Ended -> {
+                    openOrders -= executor
+                    fleet.withSchedule { it.removeExecutor(executor, now) }
+                }
+                OrderSettlement.WithoutEffect -> {
+                    openOrders -= executor
+                    logger.info { "machines: order was executed before, executor=$executor goes on epoch=$epoch" }
+                }
+            }
+        }
+    }
+
     /** Waits until the executors have answered; before that, every machine would appear to be lost. */
     private suspend fun awaitExecutors() {
         repeat((LONGEST_FIRST_EXECUTOR_WAIT / FIRST_EXECUTOR_CHECK_PAUSE).toInt()) {
@@ -162,8 +185,7 @@
     private fun retire(names: Set<String>, machines: Map<String, Machine>) {
         emptying = names
         val executors = names.mapNotNullTo(mutableSetOf()) { machines[it]?.executor }
-        possiblyMoved.retainAll(machines.values.mapNotNull { it.executor }.toSet())
-        executors += possiblyMoved
+        executors += openOrders.keys
         fleet.withSchedule { it.retire(executors) }
     }
 
@@ -178,9 +200,7 @@
         progress[wave] =
             when (outcome) {
                 MachineOutcome.Done -> {
-                    machine.executor?.let { executor ->
-                        fleet.withSchedule { it.removeExecutor(executor, clock.now()) }
-                    }
+                    machine.executor?.let { openOrders[it] = OpenOrder(orderedAt, confirmed = true) }
                     val done = current.maintained + machine.name
                     appendRecord(MaintainedMachines.key(wave), MaintainedMachines.encode(done))
                     current.copy(maintained = done, orders = current.orders + confirmedOrder(machine, orderedAt))
@@ -265,9 +285,9 @@
         when (outcome) {
             MachineOutcome.Done -> {
                 recentMoves[machine.name] = clock.now()
-                executor?.let { gone -> fleet.withSchedule { it.removeExecutor(gone, clock.now()) } }
+                executor?.let { openOrders[it] = OpenOrder(clock.now(), confirmed = true) }
             }
-            is MachineOutcome.Unknown -> executor?.let { possiblyMoved += it }
+            is MachineOutcome.Unknown -> executor?.let { openOrders[it] = OpenOrder(clock.now(), confirmed = false) }
             else -> Unit
         }
     }
--- a/node/src/main/kotlin/dogwoodgrade/node/OrderWorkers.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OrderWorkers.kt
@@ -10,14 +10,24 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.launch
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
 
 private val logger = KotlinLogging.logger {}
 
-/** Largest number of orders that wait for a worker; a plan contains at most some hundred. */
+/** Largest number of orders that wait for a worker; the scheduler bounds the starts, stops of ended jobs come at once. */
 private const val ORDER_QUEUE_CAPACITY = 4096
 
-/** Number of workers that send orders; each waits for one executor at a time. */
-private const val WORKER_COUNT = 48
+/**
+ * Number of workers that send orders. Each waits for one executor at a time, up to the timeout of an order if that one
+ * is cut off, so that there are several for each executor of a zone.
+ */
+private const val WORKER_COUNT = 192
+
+/** Time after which a queued start is not sent any more, because it would arrive after its deadline. */
+private val LONGEST_START_WAIT: Duration = 900.milliseconds
 
 /** Pool of workers that send orders to executors and record the outcomes in the schedule. */
 internal class OrderWorkers(
@@ -28,27 +38,47 @@
     private val metrics: NodeMetrics,
     private val onChange: (ExecutorIdentifier) -> Unit,
 ) {
-    private val queue = Channel<Pair<ExecutorReport, Order>>(ORDER_QUEUE_CAPACITY)
+    private val queue = Channel<QueuedOrder>(ORDER_QUEUE_CAPACITY)
+    private val waitingStarts = AtomicInteger()
+
+    /** Number of starts that wait for a worker. */
+    val unsentStarts: Int get() = waitingStarts.get()
 
     /** Starts the workers; they run until [scope] is cancelled. */
     fun start(scope: CoroutineScope) {
         repeat(WORKER_COUNT) {
             scope.launch {
-                for ((executor, order) in queue) send(executor, order)
+                for (queued in queue) {
+                    if (queued.order is Order.Start) waitingStarts.decrementAndGet()
+                    send(queued)
+                }
             }
         }
     }
 
     /** Queues an order for a worker; if the queue is full, the order counts as not sent. */
     fun submit(executor: ExecutorReport, order: Order) {
-        if (queue.trySend(executor to order).isSuccess) return
+        val queued = QueuedOrder(executor, order, clock.now())
+        if (order is Order.Start) waitingStarts.incrementAndGet()
+        if (queue.trySend(queued).isSuccess) return
+        if (order is Order.Start) waitingStarts.decrementAndGet()
         logger.warn { "orders: queue is full, dropped task=${order.task.text}" }
         if (order is Order.Start) recordOutcome(order, StartOutcome.Rejected(StartRejection.NotSent))
     }
 
-    private suspend fun send(executor: ExecutorReport, order: Order) {
-        when (order) {
-            is Order.Start -> recordOutcome(order, client.start(executor, order, epoch))
+    private suspend fun send(queued: QueuedOrder) {
+        val executor = queued.executor
+        when (val order = queued.order) {
+            is Order.Start -> {
+                val expired = clock.now() - queued.queuedAt > LONGEST_START_WAIT
+                val outcome =
+                    if (expired) {
+                        StartOutcome.Rejected(StartRejection.NotSent)
+                    } else {
+                        client.start(executor, order, epoch)
+                    }
+                recordOutcome(order, outcome)
+            }
             is Order.Stop -> {
                 val answered = client.stop(executor, order, epoch)
                 metrics.ordered("stop", if (answered) "done" else "failed")
@@ -81,3 +111,10 @@
         onChange(order.executor)
     }
 }
+
+/** An order with the executor that it goes to, and the time at which it was queued. */
+private data class QueuedOrder(
+    val executor: ExecutorReport,
+    val order: Order,
+    val queuedAt: Instant,
+)
--- a/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
@@ -268,7 +268,13 @@
             val plan =
                 fleet.withSchedule { schedule ->
                     configure(schedule)
-                    schedule.plan(startedAt, clock.wallTime(), node.ownership.ordersUntil(), evacuated)
+                    schedule.plan(
+                        startedAt,
+                        clock.wallTime(),
+                        node.ownership.ordersUntil(),
+                        evacuated,
+                        workers.unsentStarts,
+                    )
                 }
             node.metrics.planned(clock.now() - startedAt)
             plan.events.forEach { logger.info { "schedule: ${it.text} job=${it.job} executor=${it.executor}" } }
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetView.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetView.kt
@@ -52,7 +52,19 @@
 /** Fraction of the tasks of late jobs that counts as demand; such jobs can no longer meet their objective. */
 private const val LATE_DEMAND_SHARE: Double = 0.25
 
-internal fun fleetView(tables: FleetTables, arrivals: ArrivalMeter, now: Instant, wallTime: Instant): FleetView {
+/**
+ * Returns the load of the fleet.
+ *
+ * @param startsLimited whether the owner cannot start tasks as fast as machines could take them; work that waits for the
+ * owner needs no further machines, and would leave them half empty
+ */
+internal fun fleetView(
+    tables: FleetTables,
+    arrivals: ArrivalMeter,
+    startsLimited: Boolean,
+    now: Instant,
+    wallTime: Instant,
+): FleetView {
     val remainingCaps = tables.configuration.teams.mapValuesTo(
         mutableMapOf(),
     ) { (name, team) -> remainingCap(tables, name, team.cap) }
@@ -63,8 +75,8 @@
             PoolLoad(
                 pool,
                 executors.sum { it.used },
-                waitingRequest(tables, pool, remainingCaps, now, wallTime),
-                arrivals.rate(pool, now),
+                if (startsLimited) Resources.None else waitingRequest(tables, pool, remainingCaps, now, wallTime),
+                if (startsLimited) Resources.None else arrivals.rate(pool, now),
                 minimumExecutorsByPool[pool] ?: 0,
                 executors.sum { it.report.capacity },
                 tables.configuration.pools[pool]?.standby == true,
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
@@ -38,10 +38,16 @@
     private val endedExecutors = mutableMapOf<ExecutorIdentifier, Long>()
     private var settledAt = Instant.DISTANT_PAST
     private var fullPassAt = Instant.DISTANT_PAST
+
+    /** Number of planned starts in the batch that is being made durable. */
+    private var startsInBatch = 0
     private var forgottenAt = Instant.DISTANT_PAST
 
     /** Returns the load of all pools and executors. */
-    public fun fleetView(now: Instant, wallTime: Instant): FleetView = fleetView(tables, arrivals, now, wallTime)
+    public fun fleetView(now: Instant, wallTime: Instant): FleetView {
+        val startsLimited = now - starts.limitedAt < policy.startLimitMemory
+        return fleetView(tables, arrivals, startsLimited, now, wallTime)
+    }
 
     /**
      * Starts ownership of the fleet.
@@ -257,8 +263,19 @@
         row.adviceRequestedAt = null
     }
 
-    /** Plans orders and starts. The plan contains no orders once [ownedUntil] has passed. */
-    public fun plan(now: Instant, wallTime: Instant, ownedUntil: Instant, evacuatedZones: Set<String>): SchedulerPlan {
+    /**
+     * Plans orders and starts. The plan contains no orders once [ownedUntil] has passed.
+     *
+     * @param unsentStarts number of durable starts that have not been sent yet. Starts are planned only as fast as they
+     * are sent: one that waits longer than its deadline is rejected, and all work on it is lost.
+     */
+    public fun plan(
+        now: Instant,
+        wallTime: Instant,
+        ownedUntil: Instant,
+        evacuatedZones: Set<String>,
+        unsentStarts: Int = 0,
+    ): SchedulerPlan {
         // What no event announces, such as a deadline that passes, is looked for in part of the passes only: it takes a
         // look at every executor, run and job.
         val full = now - fullPassAt >= FULL_PASS_INTERVAL || now < fullPassAt
@@ -273,7 +290,8 @@
             stops.planStopsOfAllRuns(now)
         }
         val inputs = PlanInputs(now, wallTime, evacuatedZones + tables.zones.silent, jobsExceedingEntitlement)
-        starts.plan(inputs, all = full)
+        val waitingStarts = unsentStarts + startsInBatch + tables.plannedStarts.size
+        starts.plan(inputs, all = full, allowance = policy.maximumUnsentStarts - waitingStarts)
         val orders = stops.plan(now) + if (full) pace.plan(now) else emptyList()
         return SchedulerPlan(orders, starts.adviceRequests.toList(), probes, takeEvents())
     }
@@ -328,6 +346,7 @@
         tables.goneExecutors.clear()
         val starts = tables.plannedStarts.toList()
         tables.plannedStarts.clear()
+        startsInBatch = starts.size
         val batch =
             ProgressBatch(
                 progress,
@@ -347,6 +366,7 @@
      * @return the start orders to send now
      */
     public fun confirmDurable(batch: ProgressBatch, ownedUntil: Instant, now: Instant): List<Order.Start> {
+        startsInBatch = 0
         batch.executors.forEach { tables.executors[it.identifier]?.recorded = true }
         for ((identifier, number) in batch.ends) {
             val row = tables.executors[identifier] ?: continue
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/StartPlanner.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/StartPlanner.kt
@@ -17,6 +17,13 @@
     private val entitlementBuckets = mutableMapOf<String, TokenBucket>()
     val adviceRequests: MutableList<AdviceRequest> = mutableListOf()
 
+    /** Number of starts that may still be planned in this pass. */
+    private var allowance = 0
+
+    /** Time at which the allowance last kept a task from starting. */
+    var limitedAt: Instant = Instant.DISTANT_PAST
+        private set
+
     /**
      * Counts a job against its team's entitlement.
      *
@@ -27,23 +34,36 @@
         return entitlementBuckets.getOrPut(team.name) { TokenBucket(team.weight * 2, now) }.tryTake(team.weight, now)
     }
 
-    /** Plans the pools that have changed since the last pass, or all of them if [all] is set. */
-    fun plan(inputs: PlanInputs, all: Boolean) {
+    /**
+     * Plans the pools that have changed since the last pass, or all of them if [all] is set.
+     *
+     * The steps of all pools are planned in the order of their ranks, since [allowance] is shared by the pools.
+     *
+     * @param allowance maximum number of starts
+     */
+    fun plan(inputs: PlanInputs, all: Boolean, allowance: Int) {
         adviceRequests.clear()
+        this.allowance = allowance
         val changed = tables.poolsToPlan.toSet()
         tables.poolsToPlan.clear()
+        val context = PlacementContext(inputs.now, inputs.avoidedZones, false)
+        val candidates = mutableListOf<Candidate>()
         for ((pool, ready) in tables.readySteps) {
             if (!all && pool !in changed) continue
             ready.removeIf { it.job.ended || !it.hasReady }
-            if (ready.isNotEmpty()) planPool(pool, ready, inputs)
+            if (ready.isEmpty()) continue
+            val executors = tables.executorsOf(pool).filter { acceptsTasks(it, context) }
+            ready.mapTo(candidates) { Candidate(rank(it, inputs), it, executors) }
+        }
+        candidates.sortBy { it.rank }
+        for ((_, row, executors) in candidates) {
+            startStep(row, executors, inputs)
+            if (this.allowance <= 0) {
+                limitedAt = inputs.now
+                candidates.mapTo(tables.poolsToPlan) { tables.poolOf(it.row.job.job) }
+                return
+            }
         }
-    }
-
-    private fun planPool(pool: String, ready: Set<StepRow>, inputs: PlanInputs) {
-        val context = PlacementContext(inputs.now, inputs.avoidedZones, false)
-        val executors = tables.executorsOf(pool).filter { acceptsTasks(it, context) }
-        val ranked = ready.map { rank(it, inputs) to it }
-        for ((_, row) in ranked.sortedBy { it.first }) startStep(row, executors, inputs)
     }
 
     private fun rank(row: StepRow, inputs: PlanInputs): Rank {
@@ -68,7 +88,7 @@
         }
         for (task in row.tasks) {
             if (task.phase != TaskPhase.Ready || task.notBefore > inputs.now) continue
-            if (!withinCap(row)) return
+            if (allowance <= 0 || !withinCap(row)) return
             val executor = chooseExecutor(row, task, allowed)
             if (executor == null) {
                 if (row.step.longRunning && !row.step.usesSpareCapacity) preempt(row, task, allowed, inputs.now)
@@ -114,6 +134,7 @@
                 checkpoint = task.checkpoint,
             )
         tables.activate(task, active)
+        allowance--
         tables.plannedStarts += PlannedStart(task.name, executor.identifier, number)
     }
 
@@ -191,6 +212,13 @@
     }
 }
 
+/** A step that has ready tasks, with the executors of its pool that accept tasks. */
+private data class Candidate(
+    val rank: Rank,
+    val row: StepRow,
+    val executors: List<ExecutorRow>,
+)
+
 /** A request to the advisory service: which of [executors] may run the step. */
 public data class AdviceRequest(
     public val job: JobIdentifier,
--- a/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SchedulerTest.kt
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SchedulerTest.kt
@@ -76,6 +76,30 @@
         assertTrue(starts(scheduler).isEmpty(), "nothing starts on a reserved executor")
     }
 
+    /**
+     * Guards against an owner on a small machine that plans more starts than it sends: they are sent after their
+     * deadline, every one is rejected, and the fleet comes to a standstill.
+     */
+    @Test
+    fun `starts are planned only as fast as they are sent, long-running tasks first`() {
+        val limit = SchedulingPolicy().maximumUnsentStarts
+        val executors = Array(8) { report("x$it", cores = 400) }
+        val scheduler = scheduler(*executors)
+        scheduler.accept(job("batch", width = limit + 50), null, now, now)
+        val long = Step(3, Resources(4_000, 1_000), longRunning = true)
+        scheduler.accept(job("long", width = 3, step = long), null, now, now)
+        scheduler.plan(now, now, forever, emptySet(), unsentStarts = limit)
+        assertTrue(makeDurable(scheduler).isEmpty())
+        assertEquals(Resources.None, scheduler.fleetView(now, now).pools.getValue("pool").waiting)
+        now += 8.milliseconds
+        scheduler.plan(now, now, forever, emptySet(), unsentStarts = limit - 4)
+        val started = makeDurable(scheduler).groupingBy { it.task.job.text }.eachCount()
+        assertEquals(mapOf("long" to 3, "batch" to 1), started)
+        now += 8.milliseconds
+        scheduler.plan(now, now, forever, emptySet(), unsentStarts = 0)
+        assertEquals(limit, makeDurable(scheduler).size)
+    }
+
     /** Guards against tasks that wait for the next look at the whole fleet although only their pool has changed. */
     @Test
     fun `what becomes ready or free between two full passes is planned at once`() {
