--- a/node/src/main/kotlin/dogwoodgrade/node/Node.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/Node.kt
@@ -264,10 +264,20 @@
     }
 
     private suspend fun claimWhenDue() {
+        var ableSince: Instant? = null
         while (!stopping) {
             val view = components.ownership.view()
             val complete = components.jobs.hasBeenComplete() && components.configuration.current() != null
-            val decision = if (view == null || !complete) null else decideClaim(view, candidate, policy, clock.now())
+            // All instances become able to claim when the first configuration arrives. Counted from an earlier time,
+            // the delays that let the strongest one be first would have passed.
+            if (complete && ableSince == null) ableSince = clock.now()
+            val able = ableSince
+            val decision =
+                if (view == null || able == null || !complete) {
+                    null
+                } else {
+                    decideClaim(view.copy(recordSince = maxOf(view.recordSince, able)), candidate, policy, clock.now())
+                }
             if (decision is CandidateDecision.Claim) claim(decision)
             if (decision == CandidateDecision.Follow && view != null) askForHandover(view)
             delay(OWNERSHIP_CHECK_PAUSE)
