--- a/measure/src/main/kotlin/dogwoodgrade/measure/SchedulerCostCommand.kt
+++ b/measure/src/main/kotlin/dogwoodgrade/measure/SchedulerCostCommand.kt
@@ -19,7 +19,9 @@
         val sizes = listOf(30, 100, 300, 1_000)
         val rows = sizes.flatMap { size -> seeds.map { row(size, it) } }
         val points = { column: Int ->
-            rows.groupBy { it.label.toDouble() }.map { (size, runs) -> size to runs.map { it.values[column] }.average() }
+            rows.groupBy { it.label.toDouble() }.map { (size, runs) ->
+                size to runs.map { it.values[column] }.average()
+            }
         }
         val lines = mapOf("per start" to points(0), "per end" to points(2), "per pass" to points(5))
         return Report(name, COLUMNS, rows, Plot("Scheduling time", "executors", "microseconds", lines))
--- a/node/src/main/kotlin/dogwoodgrade/node/MachineLoop.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/MachineLoop.kt
@@ -164,7 +164,9 @@
             retire(empty, machines)
             for (machine in decision.maintain) {
                 val due = machines.getValue(machine)
-                val reserved = due.executor?.let { executor -> fleet.withSchedule { it.reserveForMaintenance(executor) } }
+                val reserved = due.executor?.let { executor ->
+                    fleet.withSchedule { it.reserveForMaintenance(executor) }
+                }
                 val remaining = remainingOrderTime()
                 if (reserved != false && remaining > Duration.ZERO) {
                     orderMaintenance(client, wave.number, due, remaining)
@@ -270,8 +272,9 @@
                     // The scheduler may have placed work on the executor since the plan was made.
                     remainingOrderTime() > Duration.ZERO &&
                         (executor == null || fleet.withSchedule { it.reserveForMove(executor) })
-                }.map { move -> async { move to client.move(move.machine.name, move.pool, epoch, remainingOrderTime()) } }
-                .awaitAll()
+                }.map { move ->
+                    async { move to client.move(move.machine.name, move.pool, epoch, remainingOrderTime()) }
+                }.awaitAll()
                 .forEach { (move, outcome) -> handleMoveOutcome(move, outcome, plan.wanted) }
         }
 
--- a/node/src/main/kotlin/dogwoodgrade/node/Node.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/Node.kt
@@ -297,7 +297,8 @@
     }
 
     private suspend fun claim(decision: CandidateDecision.Claim) {
-        val record = OwnershipRecord(decision.epoch, settings.entry, incarnation, resigned = false, settings.processorCores)
+        val record =
+            OwnershipRecord(decision.epoch, settings.entry, incarnation, resigned = false, settings.processorCores)
         // Candidates share the producer and may claim the same epoch. With equal sequence numbers, the store would take
         // the second claim for a repetition of the first and confirm both.
         val sequence = Random.nextLong(1, LARGEST_CLAIM_SEQUENCE)
--- a/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
@@ -17,6 +17,7 @@
 import dogwoodgrade.scheduling.Scheduler
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
@@ -92,10 +93,19 @@
     private val workers =
         OrderWorkers(executors, fleet, record.epoch, clock, node.metrics) { changed(it) }
     private val reports = mutableMapOf<ExecutorIdentifier, ExecutorReport>()
+
+    @Volatile
+    private var machineOrders: Job? = null
     private val machines = MachineLoop(node, settings, fleet, record.epoch, writer::enqueueRecord)
 
-    /** Resigns, so that another entry instance can take over at once: [successor], if one is named. */
-    fun resign(successor: String? = null) = writer.resign(successor)
+    /**
+     * Resigns, so that another entry instance can take over at once: [successor], if one is named. Orders for machines
+     * that have no answer are reset before, so that none arrives after those of the successor.
+     */
+    fun resign(successor: String? = null) {
+        machineOrders?.cancel()
+        writer.resign(successor)
+    }
 
     /** Resigns if a stronger entry instance has asked the owner of this term to. */
     fun resignIfAsked() {
@@ -125,7 +135,7 @@
                     applyLiveListRecords(it, this)
                 }
             launch { list.run() }
-            launch { machines.run() }
+            machineOrders = launch { machines.run() }
             launch { dropForgotten() }
             plan(this)
         }
--- a/node/src/main/kotlin/dogwoodgrade/node/StatePublisher.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/StatePublisher.kt
@@ -76,7 +76,11 @@
     private fun recordsOf(changes: List<Pair<JobIdentifier, JobState?>>): List<Pair<String, ByteArray?>> {
         val records = linkedMapOf<String, ByteArray?>()
         for ((job, state) in changes) {
-            if (state == null) published -= job else if (published.put(job, state) == state) continue
+            if (state == null) {
+                published -= job
+            } else if (published.put(job, state) == state) {
+                continue
+            }
             records[FleetRecords.stateKey(job)] = state?.let { FleetRecords.encode(it) }
         }
         return records.toList()
--- a/peer/src/test/kotlin/dogwoodgrade/peer/GrpcPeerTest.kt
+++ b/peer/src/test/kotlin/dogwoodgrade/peer/GrpcPeerTest.kt
@@ -143,7 +143,7 @@
     @Test
     fun `the server refuses malformed and oversized requests and continues to serve`() =
         withRefusingServer { client, address ->
-            // HTTP/2 may close the connection of a message that is too large, and with it a later call on the connection.
+            // HTTP/2 may close the connection of a message that is too large, which ends later calls on it.
             val channels =
                 List(2) { NettyChannelBuilder.forAddress(address.host, address.port).usePlaintext().build() }
             val channel = channels.first()
@@ -155,7 +155,11 @@
                 .build()
                 .toByteArray()
             try {
-                val requests = listOf(channel to Random(11).nextBytes(500), channels.last() to tooLarge, channel to invalid)
+                val requests = listOf(
+                    channel to Random(11).nextBytes(500),
+                    channels.last() to tooLarge,
+                    channel to invalid,
+                )
                 for ((used, bytes) in requests) {
                     assertFailsWith<StatusException> {
                         ClientCalls.unaryRpc(used, method, bytes, CallOptions.DEFAULT)
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetView.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetView.kt
@@ -55,8 +55,8 @@
 /**
  * Returns the load of the fleet.
  *
- * @param startsLimited whether the owner cannot start tasks as fast as machines could take them; work that waits for the
- * owner needs no further machines, and would leave them half empty
+ * @param startsLimited whether the owner cannot start tasks as fast as machines could take them; work that waits for
+ * the owner needs no further machines, and would leave them half empty
  */
 internal fun fleetView(
     tables: FleetTables,
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Placement.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Placement.kt
@@ -41,24 +41,27 @@
 internal fun chooseExecutor(row: StepRow, task: TaskRow, allowed: List<ExecutorRow>): ExecutorRow? {
     val counts = if (row.step.tasksPerExecutor > 0) activeTasksByExecutor(row) else emptyMap()
     var best: ExecutorRow? = null
-    var bestPenalty = 0
-    var bestOrder = 0L
+    var bestPenalty = Int.MAX_VALUE
+    var bestOrder = Long.MAX_VALUE
     for (executor in allowed) {
         val withinLimit = counts.isEmpty() || (counts[executor.identifier] ?: 0) < row.step.tasksPerExecutor
         if (!withinLimit || !executor.hasRoomFor(row.step.reserved)) continue
         val penalty = penalty(row, task, executor)
+        if (penalty > bestPenalty) continue
         val order = fitOrder(row, executor)
-        if (best == null || penalty < bestPenalty || penalty == bestPenalty && order < bestOrder) {
-            best = executor
-            bestPenalty = penalty
-            bestOrder = order
-        }
+        if (penalty == bestPenalty && order >= bestOrder) continue
+        best = executor
+        bestPenalty = penalty
+        bestOrder = order
     }
     return best
 }
 
 private fun activeTasksByExecutor(row: StepRow): Map<ExecutorIdentifier, Int> =
-    row.tasks.mapNotNull { it.active?.executor }.groupingBy { it }.eachCount()
+    row.tasks
+        .mapNotNull { it.active?.executor }
+        .groupingBy { it }
+        .eachCount()
 
 private fun penalty(row: StepRow, task: TaskRow, executor: ExecutorRow): Int {
     var penalty = 0
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/SchedulingPolicy.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/SchedulingPolicy.kt
@@ -17,8 +17,8 @@
  * @property stallTimeout time without progress after which a run is stopped and its task restarted
  * @property preemptionDelay time that a long-running task waits for capacity before it preempts batch tasks
  * @property restorationTime time that a run needs to restore a checkpoint before it makes progress
- * @property maximumUnsentStarts number of planned starts that may wait to be made durable and sent, what a small machine
- * sends in a third of [startOrderValidity]
+ * @property maximumUnsentStarts number of planned starts that may wait to be made durable and sent; a small machine
+ * sends as many in a third of [startOrderValidity]
  * @property startLimitMemory time for which an owner that has reached that number counts as too slow for more machines
  * @property endedJobRetention time for which an ended job can still be queried
  */
--- a/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SchedulerTest.kt
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SchedulerTest.kt
@@ -90,7 +90,14 @@
         scheduler.accept(job("long", width = 3, step = long), null, now, now)
         scheduler.plan(now, now, forever, emptySet(), unsentStarts = limit)
         assertTrue(makeDurable(scheduler).isEmpty())
-        assertEquals(Resources.None, scheduler.fleetView(now, now).pools.getValue("pool").waiting)
+        assertEquals(
+            Resources.None,
+            scheduler
+                .fleetView(now, now)
+                .pools
+                .getValue("pool")
+                .waiting,
+        )
         now += 8.milliseconds
         scheduler.plan(now, now, forever, emptySet(), unsentStarts = limit - 4)
         val started = makeDurable(scheduler).groupingBy { it.task.job.text }.eachCount()
@@ -112,7 +119,12 @@
         val first = starts(scheduler).single()
         now += 8.milliseconds
         list(scheduler, executor, ended = listOf(ListedEnd(1, first.task, first.run, RunEnding.Done, "")))
-        assertEquals("b", starts(scheduler).single().task.job.text)
+        assertEquals(
+            "b",
+            starts(scheduler)
+                .single()
+                .task.job.text,
+        )
     }
 
     @Test
