--- a/node/src/main/kotlin/dogwoodgrade/node/OrderWorkers.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OrderWorkers.kt
@@ -17,7 +17,7 @@
 
 private val logger = KotlinLogging.logger {}
 
-/** Largest number of orders that wait for a worker. The scheduler bounds the starts; stops of ended jobs come at once. */
+/** Largest number of orders that wait for a worker; the scheduler bounds starts, stops of ended jobs come at once. */
 private const val ORDER_QUEUE_CAPACITY = 4096
 
 /**
