Judge a run's progress from its start, and repeat lost appends sooner

A start waited 1.5 s for its durable record, and its run counted as stalled the moment it was confirmed, since the time without progress ran from its plan: 75 fresh runs were stopped, and their executors avoided for 3 s, until the pool in its burst had no usable executor. The owner waited 0.9 s for each lost answer, lost its lease, and then its term. Change: progress is judged from the confirmation on, and only if a listing has shown it since; an append without an answer is repeated after 0.3, 0.5, then 0.9 s.

--- a/node/src/main/kotlin/dogwoodgrade/node/RepeatedAppend.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/RepeatedAppend.kt
@@ -6,8 +6,16 @@
 import dogwoodgrade.platform.Topic
 import kotlinx.coroutines.delay
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
 
+/**
+ * Time for the answer to each attempt of an append, the last one for all further ones. The store answers within some
+ * milliseconds, or a quarter of a second when it is slow. An answer that is lost never comes, and an owner that waits
+ * for it for a second loses its lease.
+ */
+private val ATTEMPT_TIMEOUTS: List<Duration> = listOf(300, 500, 900).map { it.milliseconds }
+
 /** Outcome of an append that was repeated until its outcome was known. */
 internal sealed interface KnownOutcome {
     /**
@@ -53,9 +61,11 @@
     ): KnownOutcome {
         var uncertainSince: Instant? = null
         var refused = 0
+        var attempts = 0
         while (true) {
             val sentAt = clock.now()
-            val outcome = store.append(topic, records, producer)
+            val timeout = ATTEMPT_TIMEOUTS[minOf(attempts++, ATTEMPT_TIMEOUTS.lastIndex)]
+            val outcome = store.append(topic, records, producer, timeout = timeout)
             storeAvailability.recordCall(outcome.answered, sentAt, clock.now())
             when (outcome) {
                 is AppendOutcome.Appended -> return KnownOutcome.Durable(uncertainSince ?: sentAt, outcome.endOffset)
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
@@ -232,6 +232,8 @@
         when (outcome) {
             StartOutcome.Started -> {
                 if (run.confirmedAt == null) run.confirmedAt = now
+                // The run may have waited for its durable record much longer than a run may be without progress.
+                if (run.percent < 0) run.percentSince = now
                 if (run.phase == RunPhase.Starting) run.phase = RunPhase.Running
             }
             is StartOutcome.Unknown -> Unit
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/StopPlanner.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/StopPlanner.kt
@@ -78,6 +78,9 @@
             for ((name, run) in executor.runs) {
                 if (run.phase != RunPhase.Running || run.pace == 0) continue
                 if (now - run.percentSince <= minOf(policy.stallTimeout, WARM_UP_TIME_LIMIT)) continue
+                // Without a listing for some time, nothing is known of the progress.
+                val listedAt = executor.listedAt ?: continue
+                if (listedAt - run.percentSince < policy.stallTimeout / 2) continue
                 val step = tables.stepOf(name) ?: continue
                 if (!stalled(step, run, now)) continue
                 tables.pendingStops[name] = StopReason.Stalled
--- a/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SchedulerTest.kt
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SchedulerTest.kt
@@ -107,6 +107,30 @@
         assertEquals(limit, makeDurable(scheduler).size)
     }
 
+    /**
+     * Guards against fresh runs that are stopped, and executors that are avoided for them, when the store loses answers:
+     * a start waits for its durable record longer than a run may be without progress.
+     */
+    @Test
+    fun `a run that became durable late does not count as stalled when it starts`() {
+        val executor = report("x")
+        val scheduler = scheduler(executor)
+        scheduler.accept(job("a"), null, now, now)
+        scheduler.plan(now, now, forever, emptySet())
+        now += 3.seconds
+        list(scheduler, executor, clock = 103.seconds)
+        val start = makeDurable(scheduler).single()
+        scheduler.processStartOutcome(start, StartOutcome.Started, now)
+        assertTrue(scheduler.plan(now + 40.milliseconds, now, forever, emptySet()).orders.isEmpty())
+        now += 1.seconds
+        list(scheduler, executor, listOf(ListedRun(start.task, start.run, "", 0, 0.0)), clock = 104.seconds)
+        now += 2500.milliseconds
+        assertTrue(scheduler.plan(now, now, forever, emptySet()).orders.isEmpty(), "no listing for 2.5 s")
+        list(scheduler, executor, listOf(ListedRun(start.task, start.run, "", 0, 0.0)), clock = 106.seconds)
+        val orders = scheduler.plan(now + 40.milliseconds, now, forever, emptySet()).orders
+        assertEquals(StopReason.Stalled, assertIs<Order.Stop>(orders.single()).reason)
+    }
+
     /** Guards against tasks that wait for the next look at the whole fleet although only their pool has changed. */
     @Test
     fun `what becomes ready or free between two full passes is planned at once`() {
