--- /dev/null
+++ b/node/src/main/kotlin/dogwoodgrade/node/FleetRecordForms.kt
@@ -0,0 +1,231 @@
+package dogwoodgrade.node
+
+import dogwoodgrade.scheduling.ExecutorIdentifier
+import dogwoodgrade.scheduling.ExecutorReport
+import dogwoodgrade.scheduling.Job
+import dogwoodgrade.scheduling.JobIdentifier
+import dogwoodgrade.scheduling.JobProgress
+import dogwoodgrade.scheduling.JobState
+import dogwoodgrade.scheduling.Repetition
+import dogwoodgrade.scheduling.Resources
+import dogwoodgrade.scheduling.StartedRun
+import dogwoodgrade.scheduling.Step
+import dogwoodgrade.scheduling.TaskPosition
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
+
+/*
+ * JSON forms of the records in the platform's log, see [FleetRecords].
+ */
+
+@Serializable
+internal data class ExecutorRecord(
+    @SerialName("b") val incarnation: Long,
+    @SerialName("p") val pool: String,
+    @SerialName("a") val address: String,
+    @SerialName("z") val zone: String,
+    @SerialName("c") val capacity: List<Long>,
+    @SerialName("l") val labels: List<String>,
+) {
+    fun toReport(identifier: ExecutorIdentifier): ExecutorReport {
+        if (capacity.size != 3) throw SerializationException("capacity $capacity does not have 3 values")
+        val resources = Resources(capacity[0], capacity[1], capacity[2])
+        return ExecutorReport(identifier, incarnation, pool, address, zone, false, resources, labels)
+    }
+
+    companion object {
+        fun of(report: ExecutorReport): ExecutorRecord {
+            val resources = report.capacity
+            val capacity = listOf(resources.processor, resources.memory, resources.accelerators)
+            return ExecutorRecord(
+                report.incarnation,
+                report.pool,
+                report.address,
+                report.zone,
+                capacity,
+                report.labels,
+            )
+        }
+    }
+}
+
+@Serializable
+internal data class OwnerRecord(
+    val epoch: Long,
+    val owner: String,
+    val incarnation: String,
+    val resigned: Boolean = false,
+    val capacity: Double = 0.0,
+    val successor: String? = null,
+)
+
+@Serializable
+internal data class HandoverRecord(
+    val epoch: Long,
+    val candidate: String,
+)
+
+@Serializable
+internal data class JobRecord(
+    @SerialName("q") val queue: String,
+    @SerialName("p") val pool: String,
+    @SerialName("t") val team: String? = null,
+    @SerialName("x") val payload: String = "",
+    @SerialName("a") val acceptedAt: Long,
+    @SerialName("s") val steps: List<StepRecord>,
+    @SerialName("r") val repetition: RepetitionRecord? = null,
+) {
+    fun toJob(identifier: JobIdentifier): Job =
+        Job(
+            identifier,
+            queue,
+            pool,
+            team,
+            payload,
+            steps.map { it.toStep() },
+            repetition?.let {
+                Repetition(it.occurrences, Instant.fromEpochMilliseconds(it.start), it.interval.milliseconds)
+            },
+            Instant.fromEpochMilliseconds(acceptedAt),
+        )
+
+    companion object {
+        fun of(job: Job): JobRecord =
+            JobRecord(
+                job.queue,
+                job.pool,
+                job.team,
+                job.payload,
+                job.acceptedAt.toEpochMilliseconds(),
+                job.steps.map { StepRecord.of(it) },
+                job.repetition?.let {
+                    RepetitionRecord(it.occurrences, it.start.toEpochMilliseconds(), it.interval.inWholeMilliseconds)
+                },
+            )
+    }
+}
+
+@Serializable
+internal data class RepetitionRecord(
+    val occurrences: Int,
+    val start: Long,
+    val interval: Long,
+)
+
+@Serializable
+internal data class StepRecord(
+    @SerialName("n") val count: Int,
+    @SerialName("c") val processor: Long = 0,
+    @SerialName("m") val memory: Long = 0,
+    @SerialName("g") val accelerators: Long = 0,
+    @SerialName("e") val estimate: Long = 0,
+    @SerialName("d") val dependencies: List<Int> = emptyList(),
+    @SerialName("k") val checkpoints: Boolean = false,
+    @SerialName("gang") val gang: Boolean = false,
+    @SerialName("rl") val rackLocal: Boolean = false,
+    @SerialName("l") val requiredLabel: String? = null,
+    @SerialName("pr") val preferredRack: String? = null,
+    @SerialName("pe") val tasksPerExecutor: Int = 0,
+    @SerialName("long") val longRunning: Boolean = false,
+    @SerialName("i") val image: String? = null,
+    @SerialName("tl") val targetLatency: Long? = null,
+    @SerialName("sp") val usesSpareCapacity: Boolean = false,
+    @SerialName("b") val unavailabilityBudget: Int = 0,
+    @SerialName("copies") val speculative: Boolean = false,
+) {
+    fun toStep(): Step =
+        Step(
+            count,
+            Resources(processor, memory, accelerators),
+            estimate.milliseconds,
+            dependencies,
+            checkpoints,
+            gang,
+            rackLocal,
+            requiredLabel,
+            preferredRack,
+            tasksPerExecutor,
+            longRunning,
+            image,
+            targetLatency?.milliseconds,
+            usesSpareCapacity,
+            unavailabilityBudget,
+            speculative,
+        )
+
+    companion object {
+        fun of(step: Step): StepRecord =
+            StepRecord(
+                step.count,
+                step.request.processor,
+                step.request.memory,
+                step.request.accelerators,
+                step.estimate.inWholeMilliseconds,
+                step.dependencies,
+                step.checkpoints,
+                step.gang,
+                step.rackLocal,
+                step.requiredLabel,
+                step.preferredRack,
+                step.tasksPerExecutor,
+                step.longRunning,
+                step.image,
+                step.targetLatency?.inWholeMilliseconds,
+                step.usesSpareCapacity,
+                step.unavailabilityBudget,
+                step.speculative,
+            )
+    }
+}
+
+/** Progress of a job. Positions are encoded as `occurrence.step.index`, started runs as `run@executor`. */
+@Serializable
+internal data class ProgressRecord(
+    @SerialName("s") val state: JobState,
+    @SerialName("d") val completed: List<String> = emptyList(),
+    @SerialName("f") val failures: Map<String, List<Long>> = emptyMap(),
+    @SerialName("c") val checkpoints: Map<String, String> = emptyMap(),
+    @SerialName("r") val started: Map<String, String> = emptyMap(),
+    @SerialName("a") val abandoned: Map<String, String> = emptyMap(),
+) {
+    fun toProgress(): JobProgress =
+        JobProgress(
+            state,
+            completed.mapTo(mutableSetOf()) { position(it) },
+            failures.entries.associate { (key, value) -> position(key) to value.toSet() },
+            checkpoints.mapKeys { (key, _) -> position(key) },
+            started.entries.associate { (key, value) -> position(key) to startedRun(value) },
+            abandoned.entries.associate { (key, value) -> position(key) to startedRun(value) },
+        )
+
+    companion object {
+        fun of(progress: JobProgress): ProgressRecord =
+            ProgressRecord(
+                progress.state,
+                progress.completed.map { text(it) },
+                progress.failures.entries.associate { (key, value) -> text(key) to value.toList() },
+                progress.checkpoints.mapKeys { (key, _) -> text(key) },
+                progress.started.entries.associate { (key, value) -> text(key) to text(value) },
+                progress.abandoned.entries.associate { (key, value) -> text(key) to text(value) },
+            )
+
+        private fun text(run: StartedRun) = "${run.run}@${run.executor}"
+
+        private fun text(position: TaskPosition) = "${position.occurrence}.${position.step}.${position.index}"
+
+        private fun startedRun(text: String): StartedRun {
+            val run = text.substringBefore('@').toLongOrNull() ?: throw SerializationException("invalid run \"$text\"")
+            return StartedRun(ExecutorIdentifier(text.substringAfter('@')), run)
+        }
+
+        private fun position(text: String): TaskPosition {
+            val numbers =
+                text.split('.').map { it.toIntOrNull() ?: throw SerializationException("invalid position \"$text\"") }
+            if (numbers.size != 3) throw SerializationException("position \"$text\" has ${numbers.size} of 3 parts")
+            return TaskPosition(numbers[0], numbers[1], numbers[2])
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/dogwoodgrade/node/LogFollowers.kt
@@ -0,0 +1,158 @@
+package dogwoodgrade.node
+
+import dogwoodgrade.ownership.Candidate
+import dogwoodgrade.ownership.OwnershipPolicy
+import dogwoodgrade.ownership.followsProgress
+import dogwoodgrade.platform.ReadOutcome
+import dogwoodgrade.platform.Topic
+import dogwoodgrade.platform.readOperatorRecord
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val logger = KotlinLogging.logger {}
+
+/** Pause between two reads of a topic, in which records accumulate. */
+private val FOLLOWER_READ_PAUSE: Duration = 200.milliseconds
+
+/**
+ * Pause between two reads of a topic whose news can wait, as every read is a call that the store charges for. Callers
+ * who ask for the state of a job do not wait for it. Shorter than the silence after which the store counts as lost.
+ */
+private val UNURGENT_READ_PAUSE: Duration = 800.milliseconds
+
+/** Longest wait of a caller for a read of the newest records; what is known is shown then. */
+private val LONGEST_READ_WAIT: Duration = 300.milliseconds
+
+/**
+ * Longest wait of a caller for a read of the newest jobs. Such a read ends within twice that time, which is less than
+ * the 3 s after which the platform expects an accepted job to be known everywhere.
+ */
+private val LONGEST_JOB_READ_WAIT: Duration = 1.seconds
+
+/** Pause of the owner between two reads of the jobs topic. */
+private val OWNER_READ_PAUSE: Duration = 10.milliseconds
+
+/**
+ * Follows the topics of the log and applies their records to the tables of [components].
+ *
+ * @param isOwner tells whether this process owns the fleet
+ * @param onHandoverRequest called after a request for a handover has been read
+ */
+internal class LogFollowers(
+    private val components: NodeComponents,
+    private val candidate: Candidate,
+    private val policy: OwnershipPolicy,
+    private val scope: CoroutineScope,
+    private val isOwner: () -> Boolean,
+    private val onHandoverRequest: () -> Unit,
+) {
+    private val clock = components.clock
+    private val jobFollower =
+        follower(Topic.Jobs, { if (isOwner()) OWNER_READ_PAUSE else UNURGENT_READ_PAUSE }) { applyJobRecords(it) }
+
+    @Volatile
+    private var jobRead: Deferred<Boolean>? = null
+
+    @Volatile
+    private var stateFollower: TopicFollower? = null
+
+    /** Starts the coroutines that follow the log. */
+    fun start() {
+        scope.launch { follower(Topic.Operator, { FOLLOWER_READ_PAUSE }) { applyOperatorRecords(it) }.run() }
+        scope.launch { jobFollower.run() }
+        scope.launch { followStates() }
+    }
+
+    /** Reads the jobs without a pause, for a process that has just become the owner. */
+    fun readJobsNow() = jobFollower.endPause()
+
+    private fun follower(topic: Topic, pause: () -> Duration, apply: suspend (FollowedRecords) -> Unit) =
+        TopicFollower(components.store, topic, clock, pause, components.storeAvailability, apply)
+
+    /** Follows the progress, or only its summary as long as this instance is weaker than the owner. */
+    private suspend fun followStates() {
+        while (true) {
+            val whole = followsProgress(components.ownership.summary(), candidate, policy, clock.now())
+            val follower =
+                if (whole) {
+                    follower(Topic.Progress, { FOLLOWER_READ_PAUSE }) { applyProgressRecords(it) }
+                } else {
+                    follower(Topic.States, { UNURGENT_READ_PAUSE }) { applyStateRecords(it) }
+                }
+            stateFollower = follower
+            logger.info { "node: follows job states whole=$whole owner=${components.ownership.summary()?.record}" }
+            coroutineScope {
+                val reading = launch { follower.run() }
+                do {
+                    follower.awaitRead(FOLLOWER_READ_PAUSE)
+                    val view = components.ownership.summary()
+                } while (isOwner() || followsProgress(view, candidate, policy, clock.now()) == whole)
+                reading.cancel()
+            }
+            if (whole) components.ownership.stopFollowing()
+        }
+    }
+
+    private fun applyStateRecords(followed: FollowedRecords) {
+        followed.records.forEach { components.jobs.applyState(it) }
+        components.ownership.applySummary(followed, clock.now())
+    }
+
+    private fun applyOperatorRecords(followed: FollowedRecords) {
+        val records = followed.records.mapNotNull { readOperatorRecord(it) }
+        components.configuration.apply(records, followed.snapshot, clock.now())
+    }
+
+    private fun applyJobRecords(followed: FollowedRecords) {
+        followed.records.forEach { components.jobs.applyJob(it) }
+        components.jobs.recordPosition(followed.nextOffset, followed.reachedEnd)
+        val identifiers =
+            followed.records.mapNotNullTo(mutableSetOf()) {
+                FleetRecords.jobOf(it.key) ?: FleetRecords.cancelledJobOf(it.key)
+            }
+        if (identifiers.isNotEmpty()) components.onJobRecords?.invoke(identifiers)
+        val requests = followed.records.filter { it.key == FleetRecords.HANDOVER_KEY }
+        requests.mapNotNull { it.value?.let(FleetRecords::decodeHandover) }.forEach(components.ownership::applyHandover)
+        if (requests.isNotEmpty()) onHandoverRequest()
+    }
+
+    private fun applyProgressRecords(followed: FollowedRecords) {
+        followed.records.forEach { components.jobs.applyProgress(it) }
+        followed.records.forEach { components.maintained.apply(it) }
+        followed.records.forEach { components.executors.apply(it) }
+        components.ownership.applyRecords(followed, clock.now())
+    }
+
+    /**
+     * Adds the records that the log has beyond the job table. Callers share a read that is under way, since all of them
+     * ask for a job that is missing because this process is behind.
+     *
+     * @return whether a read that was sent lately, less than twice [LONGEST_JOB_READ_WAIT] ago, has reached the end of
+     * the topic
+     */
+    suspend fun readNewJobs(): Boolean {
+        val read = jobRead?.takeIf { it.isActive } ?: scope.async { readJobsOnce() }.also { jobRead = it }
+        return withTimeoutOrNull(LONGEST_JOB_READ_WAIT) { read.await() } ?: false
+    }
+
+    private suspend fun readJobsOnce(): Boolean {
+        val outcome = components.store.read(Topic.Jobs, components.jobs.readTo(), Duration.ZERO)
+        if (outcome !is ReadOutcome.Records) return false
+        outcome.records.forEach { components.jobs.applyJob(it) }
+        return outcome.nextOffset >= outcome.endOffset
+    }
+
+    /** Adds the progress, or its summary, that the log has beyond the job table. */
+    suspend fun readNewProgress() {
+        // The owner applies its own appends.
+        if (!isOwner()) stateFollower?.catchUp(LONGEST_READ_WAIT)
+    }
+}
--- a/node/src/main/kotlin/dogwoodgrade/node/Node.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/Node.kt
@@ -9,7 +9,6 @@
 import dogwoodgrade.ownership.OwnershipView
 import dogwoodgrade.ownership.asksForHandover
 import dogwoodgrade.ownership.decideClaim
-import dogwoodgrade.ownership.followsProgress
 import dogwoodgrade.ownership.grantsSettledAt
 import dogwoodgrade.platform.AdviceClient
 import dogwoodgrade.platform.AppendOutcome
@@ -17,21 +16,15 @@
 import dogwoodgrade.platform.MachinesClient
 import dogwoodgrade.platform.NodeSettings
 import dogwoodgrade.platform.Producer
-import dogwoodgrade.platform.ReadOutcome
 import dogwoodgrade.platform.StoreClient
 import dogwoodgrade.platform.Topic
-import dogwoodgrade.platform.readOperatorRecord
 import dogwoodgrade.scheduling.JobIdentifier
 import dogwoodgrade.scheduling.SchedulingPolicy
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.vertx.core.Vertx
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Deferred
-import kotlinx.coroutines.async
-import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -43,27 +36,6 @@
 /** Time without a response from the store after which this process reports that it is not ready. */
 private val STORE_SILENCE_LIMIT: Duration = 1200.milliseconds
 
-/** Pause between two reads of a topic, in which records accumulate. */
-private val FOLLOWER_READ_PAUSE: Duration = 200.milliseconds
-
-/**
- * Pause between two reads of a topic whose news can wait, as every read is a call that the store charges for. Callers
- * who ask for the state of a job do not wait for it. Shorter than [STORE_SILENCE_LIMIT].
- */
-private val UNURGENT_READ_PAUSE: Duration = 800.milliseconds
-
-/** Longest wait of a caller for a read of the newest records; what is known is shown then. */
-private val LONGEST_READ_WAIT: Duration = 300.milliseconds
-
-/**
- * Longest wait of a caller for a read of the newest jobs. Such a read ends within twice that time, which is less than
- * the 3 s after which the platform expects an accepted job to be known everywhere.
- */
-private val LONGEST_JOB_READ_WAIT: Duration = 1.seconds
-
-/** Pause of the owner between two reads of the jobs topic. */
-private val OWNER_READ_PAUSE: Duration = 10.milliseconds
-
 /** Pause between two checks whether to claim ownership, and between two checks for unanswered requests at a stop. */
 private val OWNERSHIP_CHECK_PAUSE: Duration = 50.milliseconds
 
@@ -106,7 +78,7 @@
     var onJobRecords: ((Set<JobIdentifier>) -> Unit)? = null
 }
 
-/** The process on one machine: serves callers, follows the log, and schedules the fleet while it is the owner. */
+/** The process on one machine: serves callers, and claims and schedules the fleet. [LogFollowers] follow the log. */
 internal class Node(
     private val settings: NodeSettings,
     vertx: Vertx,
@@ -144,17 +116,11 @@
             intake,
             clock,
             components.metrics,
-            ::readNewJobs,
-            ::readNewProgress,
+            { followers.readNewJobs() },
+            { followers.readNewProgress() },
         )
-    private val jobFollower =
-        follower(Topic.Jobs, { if (session == null) UNURGENT_READ_PAUSE else OWNER_READ_PAUSE }) { applyJobRecords(it) }
-
-    @Volatile
-    private var jobRead: Deferred<Boolean>? = null
-
-    @Volatile
-    private var stateFollower: TopicFollower? = null
+    private val followers: LogFollowers =
+        LogFollowers(components, candidate, policy, scope, { session != null }) { session?.resignIfAsked() }
     private val server = CallerServer(vertx, scope, handler::handle, ::ready, components.metrics::text)
 
     @Volatile
@@ -172,9 +138,7 @@
     /** Starts the servers and the coroutines that follow the log. */
     suspend fun start() {
         server.listen(settings.callers, settings.readiness)
-        scope.launch { follower(Topic.Operator, { FOLLOWER_READ_PAUSE }) { applyOperatorRecords(it) }.run() }
-        scope.launch { jobFollower.run() }
-        scope.launch { followStates() }
+        followers.start()
         scope.launch { intake.run() }
         scope.launch { claimWhenDue() }
         logger.info {
@@ -183,86 +147,6 @@
         }
     }
 
-    private fun follower(topic: Topic, pause: () -> Duration, apply: suspend (FollowedRecords) -> Unit) =
-        TopicFollower(components.store, topic, clock, pause, components.storeAvailability, apply)
-
-    /** Follows the progress, or only its summary as long as this instance is weaker than the owner. */
-    private suspend fun followStates() {
-        while (true) {
-            val whole = followsProgress(components.ownership.summary(), candidate, policy, clock.now())
-            val follower =
-                if (whole) {
-                    follower(Topic.Progress, { FOLLOWER_READ_PAUSE }) { applyProgressRecords(it) }
-                } else {
-                    follower(Topic.States, { UNURGENT_READ_PAUSE }) { applyStateRecords(it) }
-                }
-            stateFollower = follower
-            logger.info { "node: follows job states whole=$whole owner=${components.ownership.summary()?.record}" }
-            coroutineScope {
-                val reading = launch { follower.run() }
-                do {
-                    follower.awaitRead(FOLLOWER_READ_PAUSE)
-                    val view = components.ownership.summary()
-                } while (session != null || followsProgress(view, candidate, policy, clock.now()) == whole)
-                reading.cancel()
-            }
-            if (whole) components.ownership.stopFollowing()
-        }
-    }
-
-    private fun applyStateRecords(followed: FollowedRecords) {
-        followed.records.forEach { components.jobs.applyState(it) }
-        components.ownership.applySummary(followed, clock.now())
-    }
-
-    private fun applyOperatorRecords(followed: FollowedRecords) {
-        val records = followed.records.mapNotNull { readOperatorRecord(it) }
-        components.configuration.apply(records, followed.snapshot, clock.now())
-    }
-
-    private fun applyJobRecords(followed: FollowedRecords) {
-        followed.records.forEach { components.jobs.applyJob(it) }
-        components.jobs.recordPosition(followed.nextOffset, followed.reachedEnd)
-        val identifiers =
-            followed.records.mapNotNullTo(mutableSetOf()) {
-                FleetRecords.jobOf(it.key) ?: FleetRecords.cancelledJobOf(it.key)
-            }
-        if (identifiers.isNotEmpty()) components.onJobRecords?.invoke(identifiers)
-        val requests = followed.records.filter { it.key == FleetRecords.HANDOVER_KEY }
-        requests.mapNotNull { it.value?.let(FleetRecords::decodeHandover) }.forEach(components.ownership::applyHandover)
-        if (requests.isNotEmpty()) session?.resignIfAsked()
-    }
-
-    private fun applyProgressRecords(followed: FollowedRecords) {
-        followed.records.forEach { components.jobs.applyProgress(it) }
-        followed.records.forEach { components.maintained.apply(it) }
-        followed.records.forEach { components.executors.apply(it) }
-        components.ownership.applyRecords(followed, clock.now())
-    }
-
-    /**
-     * Adds the records that the log has beyond the job table. Callers share a read that is under way, since all of them
-     * ask for a job that is missing because this process is behind.
-     *
-     * @return whether a read that was sent no more than [LONGEST_JOB_READ_WAIT] ago has reached the end of the topic
-     */
-    private suspend fun readNewJobs(): Boolean {
-        val read = jobRead?.takeIf { it.isActive } ?: scope.async { readJobsOnce() }.also { jobRead = it }
-        return withTimeoutOrNull(LONGEST_JOB_READ_WAIT) { read.await() } ?: false
-    }
-
-    private suspend fun readJobsOnce(): Boolean {
-        val outcome = components.store.read(Topic.Jobs, components.jobs.readTo(), Duration.ZERO)
-        if (outcome !is ReadOutcome.Records) return false
-        outcome.records.forEach { components.jobs.applyJob(it) }
-        return outcome.nextOffset >= outcome.endOffset
-    }
-
-    private suspend fun readNewProgress() {
-        // The owner applies its own appends.
-        if (session == null) stateFollower?.catchUp(LONGEST_READ_WAIT)
-    }
-
     private suspend fun claimWhenDue() {
         var ableSince: Instant? = null
         while (!stopping) {
@@ -320,7 +204,7 @@
         val term = OwnerSession(components, settings, record, policy, settledAt, sequence)
         components.ownership.updateLease(Lease(record.epoch, claimedAt))
         session = term
-        jobFollower.endPause()
+        followers.readJobsNow()
         components.metrics.owning(record.epoch)
         val reason = term.run()
         session = null
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
@@ -11,9 +11,6 @@
 /** Time between two passes that look at everything. */
 private val FULL_PASS_INTERVAL: Duration = 40.milliseconds
 
-/** Time between two searches for ended jobs whose retention time has passed. */
-private val FORGET_INTERVAL: Duration = 1.seconds
-
 /**
  * Schedules the jobs of all pools while this process owns the fleet.
  *
@@ -28,6 +25,7 @@
     private val transitions = JobTransitions(tables, policy)
     private val listings = ListingProcessor(tables, transitions, policy)
     private val stops = StopPlanner(tables, listings, policy)
+    private val changes = DurableChanges(tables, transitions)
     private val starts = StartPlanner(tables, policy, nextRunNumber)
     private val pace = PaceController(tables)
     private val speculativeCopies = SpeculativeCopies(tables)
@@ -39,10 +37,6 @@
     private var settledAt = Instant.DISTANT_PAST
     private var fullPassAt = Instant.DISTANT_PAST
 
-    /** Number of planned starts in the batch that is being made durable. */
-    private var startsInBatch = 0
-    private var forgottenAt = Instant.DISTANT_PAST
-
     /** Returns the load of all pools and executors. */
     public fun fleetView(now: Instant, wallTime: Instant): FleetView {
         val startsLimited = now - starts.limitedAt < policy.startLimitMemory
@@ -292,7 +286,7 @@
             stops.planStopsOfAllRuns(now)
         }
         val inputs = PlanInputs(now, wallTime, evacuatedZones + tables.zones.silent, jobsExceedingEntitlement)
-        val waitingStarts = unsentStarts + startsInBatch + tables.plannedStarts.size
+        val waitingStarts = unsentStarts + changes.waitingStarts
         starts.plan(inputs, all = full, allowance = policy.maximumUnsentStarts - waitingStarts)
         val orders = stops.plan(now) + if (full) pace.plan(now) else emptyList()
         return SchedulerPlan(orders, starts.adviceRequests.toList(), probes, takeEvents())
@@ -326,40 +320,11 @@
         dropAbsentExecutors()
     }
 
-    private fun forgetExpiredJobs(now: Instant): List<JobIdentifier> {
-        if (now - forgottenAt < FORGET_INTERVAL) return emptyList()
-        forgottenAt = now
-        return transitions.forgetExpiredJobs(now).also { jobsExceedingEntitlement -= it.toSet() }
-    }
-
     /** Returns the changes that have to be made durable, or `null` if there are none. */
     public fun takeChanges(now: Instant): ProgressBatch? {
-        val forgotten = forgetExpiredJobs(now)
-        val ends = tables.executors.values.filter { it.processedEnd > it.durableEnd }
-        val unrecorded = tables.executors.values
-            .filter { !it.recorded }
-            .map { it.report }
-        val gone = tables.goneExecutors.filter { it !in tables.executors }
-        val progress =
-            tables.changed
-                .mapNotNull { identifier -> tables.jobs[identifier]?.let { identifier to it.progress() } }
-                .toMap()
-        tables.changed.clear()
-        tables.goneExecutors.clear()
-        val starts = tables.plannedStarts.toList()
-        tables.plannedStarts.clear()
-        startsInBatch = starts.size
-        val batch =
-            ProgressBatch(
-                progress,
-                forgotten,
-                ends.associate { it.identifier to it.processedEnd },
-                ends.associate { it.identifier to it.report.incarnation },
-                unrecorded,
-                gone,
-                starts,
-            )
-        return batch.takeIf { !it.isEmpty }
+        val batch = changes.take(now)
+        if (batch != null) jobsExceedingEntitlement -= batch.forgotten.toSet()
+        return batch
     }
 
     /**
@@ -368,12 +333,7 @@
      * @return the start orders to send now
      */
     public fun confirmDurable(batch: ProgressBatch, ownedUntil: Instant, now: Instant): List<Order.Start> {
-        startsInBatch = 0
-        batch.executors.forEach { tables.executors[it.identifier]?.recorded = true }
-        for ((identifier, number) in batch.ends) {
-            val row = tables.executors[identifier] ?: continue
-            if (row.report.incarnation == batch.incarnations[identifier]) row.durableEnd = maxOf(row.durableEnd, number)
-        }
+        changes.confirm(batch)
         return batch.starts.mapNotNull { starts.dispatch(it, ownedUntil, now) }
     }
 
