--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/StopPlanner.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/StopPlanner.kt
@@ -74,26 +74,33 @@
 
     private fun stopStalledRuns(now: Instant) {
         for (executor in tables.executors.values) {
-            if (!executor.reachable) continue
+            val listedAt = executor.listedAt
+            if (!executor.reachable || listedAt == null) continue
             for ((name, run) in executor.runs) {
-                if (run.phase != RunPhase.Running || run.pace == 0) continue
-                if (now - run.percentSince <= minOf(policy.stallTimeout, WARM_UP_TIME_LIMIT)) continue
-                // Without a listing for some time, nothing is known of the progress.
-                val listedAt = executor.listedAt ?: continue
-                if (listedAt - run.percentSince < policy.stallTimeout / 2) continue
-                val step = tables.stepOf(name) ?: continue
-                if (!stalled(step, run, now)) continue
-                tables.pendingStops[name] = StopReason.Stalled
-                run.phase = RunPhase.Stopping
-                val task = tables.task(name) ?: continue
-                task.lastFailedOn = executor.identifier
-                listings.recordExecutorFailure(executor, task, now)
-                val text = "run stalled task=${name.text} percent=${run.percent} since=${run.percentSince}"
-                tables.events += SchedulerEvent(name.job, executor.identifier, text)
+                if (mayHaveStalled(run, listedAt, now)) stopIfStalled(executor, name, run, now)
             }
         }
     }
 
+    /** Returns whether [run] has been without progress for some time, and a listing has shown that. */
+    private fun mayHaveStalled(run: ActiveRun, listedAt: Instant, now: Instant): Boolean =
+        run.phase == RunPhase.Running &&
+            run.pace > 0 &&
+            now - run.percentSince > minOf(policy.stallTimeout, WARM_UP_TIME_LIMIT) &&
+            listedAt - run.percentSince >= policy.stallTimeout / 2
+
+    private fun stopIfStalled(executor: ExecutorRow, name: TaskName, run: ActiveRun, now: Instant) {
+        val step = tables.stepOf(name) ?: return
+        val task = tables.task(name) ?: return
+        if (!stalled(step, run, now)) return
+        tables.pendingStops[name] = StopReason.Stalled
+        run.phase = RunPhase.Stopping
+        task.lastFailedOn = executor.identifier
+        listings.recordExecutorFailure(executor, task, now)
+        val text = "run stalled task=${name.text} percent=${run.percent} since=${run.percentSince}"
+        tables.events += SchedulerEvent(name.job, executor.identifier, text)
+    }
+
     private fun stalled(step: StepRow, run: ActiveRun, now: Instant): Boolean {
         if (step.step.gang) return false
         if (step.step.longRunning) return run.percent in 0..99 && now - run.percentSince > WARM_UP_TIME_LIMIT
--- a/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SchedulerTest.kt
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SchedulerTest.kt
@@ -108,8 +108,8 @@
     }
 
     /**
-     * Guards against fresh runs that are stopped, and executors that are avoided for them, when the store loses answers:
-     * a start waits for its durable record longer than a run may be without progress.
+     * Guards against fresh runs that are stopped, and executors that are avoided for them, when the store loses
+     * answers: a start waits for its durable record longer than a run may be without progress.
      */
     @Test
     fun `a run that became durable late does not count as stalled when it starts`() {
