--- a/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
@@ -74,6 +74,7 @@
     private val planSignal = Channel<Unit>(Channel.CONFLATED)
     private val watchers = ConcurrentHashMap<ExecutorIdentifier, ExecutorWatcher>()
     private val executors = ExecutorClient(node.vertx)
+    private val states = StatePublisher(node.store, node.storeAvailability, clock, record)
     private val writer =
         OwnerWriter(
             node.store,
@@ -89,7 +90,6 @@
             { jobs -> jobs.forEach { (job, progress) -> states.publish(job, progress.state) } },
             ::onDurable,
         )
-    private val states = StatePublisher(node.store, node.storeAvailability, clock, record)
     private val workers =
         OrderWorkers(executors, fleet, record.epoch, clock, node.metrics) { changed(it) }
     private val reports = mutableMapOf<ExecutorIdentifier, ExecutorReport>()
