Log answered counts and states with the age of what they come from

Seen: the record of the incident holds an answer of 2 waiting jobs, and nothing from which one could tell whether the instance had not read the jobs yet, had stopped reading them, or took jobs for started that were not.

Cause: answered counts and states had no log line, the age of the tables was not known anywhere, and failed first reads of a topic were logged at debug level only.

No answer changes.

Result: TablesTest and NodePathTest pass; a line of the test run: "caller: state job=a2 state=Active jobs_age=494.686178ms states_age=103.649329ms".

--- a/node/src/main/kotlin/dogwoodgrade/node/CallerHandler.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/CallerHandler.kt
@@ -12,6 +12,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 
 private val logger = KotlinLogging.logger {}
 
@@ -33,6 +34,7 @@
  * @param readNewJobs adds the records that the log has beyond the job table; returns `false` if it could not read them
  * all
  * @param readNewProgress adds the progress that the log has beyond the job table
+ * @param ages tells how old the tables are at a given time
  */
 internal class CallerHandler(
     private val configuration: ConfigurationTable,
@@ -42,6 +44,7 @@
     private val metrics: NodeMetrics,
     private val readNewJobs: suspend () -> Boolean,
     private val readNewProgress: suspend () -> Unit,
+    private val ages: (Instant) -> TableAges,
 ) {
     /** Returns the reply to [request]. */
     suspend fun handle(request: JobApiRequest): JobApiReply {
@@ -65,7 +68,7 @@
             return JobApiReply.UnknownKey
         }
         val name = request.path.removePrefix(route.pathPrefix)
-        if (name.isEmpty()) return JobApiReply.Pending(jobs.pending(route.queue))
+        if (name.isEmpty()) return pending(route.queue)
         val identifier = JobIdentifier(name)
         return when (request.verb) {
             JobOperation.Submit -> submit(request, current, route, team.takeIf { !route.openToAll }, identifier)
@@ -117,15 +120,24 @@
         }
     }
 
+    private fun pending(queue: String): JobApiReply {
+        val count = jobs.pending(queue)
+        logger.info { "caller: pending queue=$queue count=$count ${ageText()}" }
+        return JobApiReply.Pending(count)
+    }
+
     private suspend fun query(identifier: JobIdentifier): JobApiReply {
         val found = lookUp(identifier)
         val job = found.job ?: return unknown(identifier, found.complete)
-        if (job.state.ended) return JobApiReply.State(job.state)
         // Callers ask most often when the job has just ended.
-        readNewProgress()
-        return JobApiReply.State((jobs[identifier] ?: job).state)
+        if (!job.state.ended) readNewProgress()
+        val state = (jobs[identifier] ?: job).state
+        logger.info { "caller: state job=$identifier state=$state ${ageText()}" }
+        return JobApiReply.State(state)
     }
 
+    private fun ageText(): String = ages(clock.now()).let { "jobs_age=${it.jobs} states_age=${it.states}" }
+
     private suspend fun cancel(request: JobApiRequest, identifier: JobIdentifier): JobApiReply {
         val found = lookUp(identifier)
         val knownJob = found.job ?: return unknown(identifier, found.complete)
--- a/node/src/main/kotlin/dogwoodgrade/node/LogFollowers.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/LogFollowers.kt
@@ -16,6 +16,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 
 private val logger = KotlinLogging.logger {}
 
@@ -40,6 +41,17 @@
 /** Pause of the owner between two reads of the jobs topic. */
 private val OWNER_READ_PAUSE: Duration = 10.milliseconds
 
+/**
+ * Age of what this process knows; `null` if a topic has never been read to its end.
+ *
+ * @property jobs age of the accepted jobs and cancellations
+ * @property states age of the jobs' states
+ */
+internal data class TableAges(
+    val jobs: Duration?,
+    val states: Duration?,
+)
+
 /**
  * Follows the topics of the log and applies their records to the tables of [components].
  *
@@ -131,6 +143,13 @@
         components.ownership.applyRecords(followed, clock.now())
     }
 
+    /** Returns how old the knowledge of jobs and of their states is at the time [now]. */
+    fun ages(now: Instant): TableAges =
+        TableAges(
+            jobs = jobFollower.currentAsOf?.let { now - it },
+            states = stateFollower?.currentAsOf?.let { now - it },
+        )
+
     /**
      * Adds the records that the log has beyond the job table. Callers share a read that is under way, since all of them
      * ask for a job that is missing because this process is behind.
--- a/node/src/main/kotlin/dogwoodgrade/node/Node.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/Node.kt
@@ -118,6 +118,7 @@
             components.metrics,
             { followers.readNewJobs() },
             { followers.readNewProgress() },
+            { followers.ages(it) },
         )
     private val followers: LogFollowers =
         LogFollowers(components, candidate, policy, scope, { session != null }) { session?.resignIfAsked() }
--- a/node/src/main/kotlin/dogwoodgrade/node/TopicFollower.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/TopicFollower.kt
@@ -64,6 +64,11 @@
     @Volatile
     private var pausing = false
 
+    /** Time up to which all records of the topic have been applied, or `null` before it has been read to its end. */
+    @Volatile
+    var currentAsOf: Instant? = null
+        private set
+
     /** Waits until a read has completed, at most for [limit]. */
     suspend fun awaitRead(limit: Duration) {
         val before = completedReads.value
@@ -99,7 +104,7 @@
             storeAvailability.recordCall(outcome !is ReadOutcome.Failed, sentAt, clock.now())
             when (outcome) {
                 is ReadOutcome.Failed -> {
-                    logger.debug { "follower: read failed topic=$topic from=$from reason=${outcome.reason}" }
+                    logFailure(from, sentAt, outcome)
                     delay(READ_RETRY_PAUSE)
                 }
                 ReadOutcome.Trimmed -> {
@@ -109,7 +114,7 @@
                     next = null
                 }
                 is ReadOutcome.Records -> {
-                    receive(outcome, from)
+                    receive(outcome, from, sentAt)
                     completedReads.value++
                     // Somebody waits for the end of the next read, which therefore must not wait for records.
                     if (pauseOrSignal()) wait = Duration.ZERO
@@ -126,7 +131,18 @@
         return signalled
     }
 
-    private suspend fun receive(outcome: ReadOutcome.Records, from: Long?) {
+    /** Logs failed reads of a whole topic, which delay everything that needs it; later reads fail one by one. */
+    private fun logFailure(from: Long?, sentAt: Instant, outcome: ReadOutcome.Failed) {
+        if (from == null) {
+            logger.warn {
+                "follower: snapshot failed topic=$topic took=${clock.now() - sentAt} reason=${outcome.reason}"
+            }
+        } else {
+            logger.debug { "follower: read failed topic=$topic from=$from reason=${outcome.reason}" }
+        }
+    }
+
+    private suspend fun receive(outcome: ReadOutcome.Records, from: Long?, sentAt: Instant) {
         if (outcome.nextOffset < knownOffset) {
             logger.warn { "follower: stale snapshot topic=$topic end=${outcome.nextOffset} known=$knownOffset" }
             delay(READ_RETRY_PAUSE)
@@ -134,14 +150,16 @@
         }
         knownOffset = outcome.nextOffset
         next = outcome.nextOffset
-        apply(
-            FollowedRecords(
-                outcome.records,
-                snapshot = from == null,
-                nextOffset = outcome.nextOffset,
-                reachedEnd = outcome.nextOffset >= outcome.endOffset,
-            ),
-        )
+        val reachedEnd = outcome.nextOffset >= outcome.endOffset
+        apply(FollowedRecords(outcome.records, snapshot = from == null, outcome.nextOffset, reachedEnd))
+        // A read that waited for records may have been answered right after it arrived.
+        if (reachedEnd) currentAsOf = sentAt
+        if (from == null) {
+            logger.info {
+                "follower: snapshot read topic=$topic records=${outcome.records.size} next=${outcome.nextOffset} " +
+                    "took=${clock.now() - sentAt}"
+            }
+        }
     }
 }
 
