--- a/node/src/test/kotlin/dogwoodgrade/node/NodePathTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/NodePathTest.kt
@@ -3,7 +3,6 @@
 import dogwoodgrade.platform.standin.StoreFaults
 import dogwoodgrade.scheduling.SchedulingPolicy
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.runBlocking
 import java.util.concurrent.CompletableFuture
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -14,19 +13,6 @@
 
 /** Runs entry instances against the stand-in platform over loopback: callers, log, owner and executors. */
 class NodePathTest {
-    private fun onPlatform(executors: Int = 3, nodes: Int = 2, test: suspend TestPlatform.() -> Unit) =
-        runBlocking {
-            val platform = TestPlatform()
-            try {
-                platform.start(executors)
-                repeat(nodes) { platform.awaitReady(platform.startNode("entry-$it")) }
-                platform.test()
-                assertEquals(emptyList<String>(), platform.executors.flatMap { it.tasksWithOverlappingRuns })
-            } finally {
-                platform.stop()
-            }
-        }
-
     private fun TestPlatform.state(node: TestNode, job: String): String = call(node, "GET", "/queue/$job").second
 
     @Test
--- a/node/src/test/kotlin/dogwoodgrade/node/TestPlatform.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/TestPlatform.kt
@@ -12,17 +12,33 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
 import java.net.ServerSocket
 import java.net.URI
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
 import java.net.http.HttpResponse
+import kotlin.test.assertEquals
 import kotlin.time.Duration.Companion.seconds
 
 /** Longest wait of a test for a condition; generous, since test machines are shared. */
 private val TEST_TIME_LIMIT = 40.seconds
 
+/** Runs [test] on a stand-in platform with [nodes] instances that are ready. No task may have run twice at a time. */
+internal fun onPlatform(executors: Int = 3, nodes: Int = 2, test: suspend TestPlatform.() -> Unit) =
+    runBlocking {
+        val platform = TestPlatform()
+        try {
+            platform.start(executors)
+            repeat(nodes) { platform.awaitReady(platform.startNode("entry-$it")) }
+            platform.test()
+            assertEquals(emptyList<String>(), platform.executors.flatMap { it.tasksWithOverlappingRuns })
+        } finally {
+            platform.stop()
+        }
+    }
+
 /** An entry instance in this process, with its own scope so that it can be ended at any time. */
 internal class TestNode(
     val name: String,
--- a/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SchedulerTest.kt
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SchedulerTest.kt
@@ -1,5 +1,6 @@
 package dogwoodgrade.scheduling
 
+import org.junit.jupiter.api.Tag
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
@@ -363,4 +364,41 @@
         scheduler.updateLiveList(listOf(moved.copy(incarnation = 2)), now)
         assertEquals(listOf(moved.identifier), scheduler.executors().map { it.identifier })
     }
+
+    /** Guards against a job that no longer counts as waiting although none of its tasks has begun. */
+    @Tag("known-red")
+    @Test
+    fun `a job becomes active when an executor confirms a run, not when one is planned`() {
+        val scheduler = scheduler(report("x"))
+        scheduler.accept(job("a"), null, now, now)
+        val order = starts(scheduler).single()
+        assertEquals(JobState.Queued, scheduler.state(JobIdentifier("a")))
+        scheduler.processStartOutcome(order, StartOutcome.Rejected(StartRejection.Capacity), now)
+        assertEquals(JobState.Queued, scheduler.state(JobIdentifier("a")))
+        now += 1.seconds
+        val retried = starts(scheduler).single()
+        scheduler.processStartOutcome(retried, StartOutcome.Started, now)
+        assertEquals(JobState.Active, scheduler.state(JobIdentifier("a")))
+        assertEquals(
+            JobState.Active,
+            scheduler
+                .takeChanges(now)
+                ?.progress
+                ?.getValue(JobIdentifier("a"))
+                ?.state,
+        )
+    }
+
+    /** Guards against a new owner that shows a job as waiting although an earlier owner has started it. */
+    @Tag("known-red")
+    @Test
+    fun `a job whose planned run is found on its executor becomes active`() {
+        val scheduler = scheduler(report("x"))
+        val started = mapOf(TaskPosition(0, 0, 0) to StartedRun(ExecutorIdentifier("x"), 7))
+        scheduler.accept(job("a"), JobProgress(JobState.Queued, started = started), now, now)
+        assertEquals(JobState.Queued, scheduler.state(JobIdentifier("a")))
+        val run = ListedRun(TaskName(JobIdentifier("a"), 0, 0, 0), 7, "", 10, 0.0)
+        list(scheduler, report("x"), running = listOf(run))
+        assertEquals(JobState.Active, scheduler.state(JobIdentifier("a")))
+    }
 }
