Count a job as active only when an executor has confirmed a run

Cause: a job became active when its first run was planned. If the start was refused, or stayed without an answer, the job never counted as waiting again, while its callers saw it as active.

Evidence: SchedulerTest "a job becomes active when an executor confirms a run, not when one is planned" and "a job whose planned run is found on its executor becomes active" failed before with "expected: <Queued> but was: <Active>".

Change: the state follows the first confirmed start, the first listed run, or the first listed end. Progress is durable with the planned run as before; one more progress record per job follows its first start.

--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetTables.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetTables.kt
@@ -73,10 +73,16 @@
             if (step.step.usesSpareCapacity) it.spareRuns++
         }
         addUse(step.job.job.team, step.step.request)
-        if (step.job.state == JobState.Queued) step.job.state = JobState.Active
         changed += task.name.job
     }
 
+    /** Marks a job as active of which an executor has confirmed a run. */
+    fun markBegun(job: JobIdentifier) {
+        val row = jobs[job]?.takeIf { it.state == JobState.Queued } ?: return
+        row.state = JobState.Active
+        changed += job
+    }
+
     /** Removes the task's active run. The caller sets the next phase of the task. */
     fun release(task: TaskRow) {
         val run = task.active ?: return
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Job.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Job.kt
@@ -128,7 +128,10 @@
 
 /** State of a job as reported to callers. */
 public enum class JobState {
+    /** No executor has confirmed a run of it. Runs may have been planned or ordered. */
     Queued,
+
+    /** An executor has confirmed a run of it. */
     Active,
     Completed,
     Failed,
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ListingProcessor.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ListingProcessor.kt
@@ -78,6 +78,7 @@
     private fun processEnd(executor: ExecutorRow, end: ListedEnd, now: Instant) {
         executor.processedEnd = end.number
         val task = tables.task(end.task) ?: return
+        tables.markBegun(end.task.job)
         tables.changed += end.task.job
         val active = task.active
         val ofActive = active != null && active.executor == executor.identifier && active.run == end.run
@@ -182,6 +183,7 @@
     }
 
     private fun update(active: ActiveRun, listedRun: ListedRun, now: Instant) {
+        tables.markBegun(listedRun.task.job)
         if (active.phase != RunPhase.Stopping) active.phase = RunPhase.Running
         if (active.confirmedAt == null) active.confirmedAt = now
         if (listedRun.checkpoint.isNotEmpty()) active.checkpoint = listedRun.checkpoint
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
@@ -225,6 +225,7 @@
         val run = task.active?.takeIf { it.run == order.run && it.executor == order.executor } ?: return
         when (outcome) {
             StartOutcome.Started -> {
+                tables.markBegun(order.task.job)
                 if (run.confirmedAt == null) run.confirmedAt = now
                 // The run may have waited for its durable record much longer than a run may be without progress.
                 if (run.percent < 0) run.percentSince = now
--- a/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SchedulerTest.kt
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SchedulerTest.kt
@@ -1,6 +1,5 @@
 package dogwoodgrade.scheduling
 
-import org.junit.jupiter.api.Tag
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
@@ -366,7 +365,6 @@
     }
 
     /** Guards against a job that no longer counts as waiting although none of its tasks has begun. */
-    @Tag("known-red")
     @Test
     fun `a job becomes active when an executor confirms a run, not when one is planned`() {
         val scheduler = scheduler(report("x"))
@@ -390,7 +388,6 @@
     }
 
     /** Guards against a new owner that shows a job as waiting although an earlier owner has started it. */
-    @Tag("known-red")
     @Test
     fun `a job whose planned run is found on its executor becomes active`() {
         val scheduler = scheduler(report("x"))
