--- a/node/src/main/kotlin/dogwoodgrade/node/LogFollowers.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/LogFollowers.kt
@@ -116,7 +116,7 @@
         while (true) {
             val view = components.ownership.summary()
             val whole =
-                followsProgress(view, candidate, policy, clock.now()) ||
+                followsProgress(view, candidate, policy) ||
                     view?.record != null &&
                     view.record?.epoch == epochWithoutSummary
             logger.info { "node: follows jobs whole=$whole owner=${view?.record}" }
@@ -143,7 +143,7 @@
         stateFollower = states
         jobFollower = jobs
         follow(states, jobs) { view ->
-            isOwner() || followsProgress(view, candidate, policy, clock.now()) || lacksSummary(view?.record)
+            isOwner() || followsProgress(view, candidate, policy) || lacksSummary(view?.record)
         }
         jobFollower = null
     }
@@ -154,7 +154,7 @@
         newJobsAsOf = null
         val states = follower(Topic.States, { UNURGENT_READ_PAUSE }) { applyStateRecords(it) }
         stateFollower = states
-        follow(states) { !followsProgress(it, candidate, policy, clock.now()) }
+        follow(states) { !followsProgress(it, candidate, policy) }
     }
 
     /** Runs [followers], of which the first tells of the owner, as long as [goesOn] accepts what is known of it. */
--- a/node/src/main/kotlin/dogwoodgrade/node/OwnershipTable.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnershipTable.kt
@@ -22,7 +22,7 @@
     private var recordSince: Instant = Instant.DISTANT_PAST
     private var handover: HandoverRequest? = null
     private var nextOffset: Long? = null
-    private var summaryRead = false
+    private var summaryReadAt: Instant? = null
     private var lease: Lease? = null
 
     /** Applies records of the progress topic. Each one is a sign of life of the owner: lower epochs cannot append. */
@@ -62,8 +62,8 @@
     /** Applies records of the summary of the progress, each of which is a sign of life of the owner. */
     @Synchronized
     fun applySummary(followed: FollowedRecords, now: Instant) {
-        if (!summaryRead) recordSince = now
-        summaryRead = true
+        if (summaryReadAt == null) recordSince = now
+        if (followed.reachedEnd || summaryReadAt == null) summaryReadAt = now
         for (entry in followed.records) applyOwner(entry, now)
         recordSign(followed, now)
     }
@@ -76,8 +76,11 @@
 
     /** Returns what is known of the owner from the progress or its summary, or `null` if neither has been read. */
     @Synchronized
-    fun summary(): OwnershipView? =
-        if (summaryRead || nextOffset != null) OwnershipView(record, signAt, readAt, recordSince) else null
+    fun summary(): OwnershipView? {
+        val summarizedAt = summaryReadAt
+        if (summarizedAt == null && nextOffset == null) return null
+        return OwnershipView(record, signAt, maxOf(readAt, summarizedAt ?: readAt), recordSince)
+    }
 
     /** Returns the known ownership, or `null` if the topic is not read. */
     @Synchronized
--- a/node/src/main/kotlin/dogwoodgrade/node/StatePublisher.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/StatePublisher.kt
@@ -54,8 +54,8 @@
 /**
  * Appends queue and state of each job to the summary while this process owns the fleet.
  *
- * Jobs and progress name payloads, steps and runs, and are a hundred times as long, more than the link of a weak machine
- * carries. A state is published only when the progress that it is part of is durable.
+ * Jobs and progress name payloads, steps and runs, and are a hundred times as long, more than the link of a weak
+ * machine carries. A state is published only when the progress that it is part of is durable.
  *
  * @param queueOf returns the queue of a job, or `null` if the job is not known
  */
--- a/ownership/src/main/kotlin/dogwoodgrade/ownership/Ownership.kt
+++ b/ownership/src/main/kotlin/dogwoodgrade/ownership/Ownership.kt
@@ -90,7 +90,7 @@
  * Returns whether [candidate] reads the whole progress, without which it cannot take over, or only its summary.
  *
  * The whole progress exceeds what the link of a weak machine carries. Such an instance reads it only if no stronger one
- * has taken over from a silent owner.
+ * has taken over from a silent owner. An instance that cannot read the log does not know whether the owner is silent.
  *
  * @param view what is known of the owner from either of them, or `null` before the summary has been read
  */
@@ -98,11 +98,12 @@
     view: OwnershipView?,
     candidate: Candidate,
     policy: OwnershipPolicy,
-    now: Instant,
 ): Boolean {
     if (view == null) return false
     val record = view.record ?: return true
-    return candidate.capacity >= record.capacity || now - view.ownerSeenAt >= policy.ownerTimeout + policy.summaryDelay
+    // The absence of owner records is evidence only if the log was read to its end.
+    val silence = view.logReadAt - view.ownerSeenAt
+    return candidate.capacity >= record.capacity || silence >= policy.ownerTimeout + policy.summaryDelay
 }
 
 /** Returns whether [candidate] asks the owner to resign in its favour. */
--- a/ownership/src/test/kotlin/dogwoodgrade/ownership/OwnershipTest.kt
+++ b/ownership/src/test/kotlin/dogwoodgrade/ownership/OwnershipTest.kt
@@ -113,13 +113,20 @@
     @Test
     fun `an instance weaker than the owner follows the whole progress only when the owner is silent for long`() {
         val strong = weakOwner.copy(capacity = 1.5)
-        val view = OwnershipView(strong, now, now)
+        val seenAt = now - policy.ownerTimeout - policy.summaryDelay
         val weak = candidate.copy(capacity = 0.36)
-        assertFalse(followsProgress(null, weak, policy, now))
-        assertTrue(followsProgress(OwnershipView(null, now, now), weak, policy, now))
-        assertFalse(followsProgress(view, weak, policy, now + policy.ownerTimeout))
-        assertTrue(followsProgress(view, weak, policy, now + policy.ownerTimeout + policy.summaryDelay))
-        assertTrue(followsProgress(view, candidate.copy(capacity = 1.5), policy, now))
+        assertFalse(followsProgress(null, weak, policy))
+        assertTrue(followsProgress(OwnershipView(null, now, now), weak, policy))
+        assertFalse(followsProgress(OwnershipView(strong, now - policy.ownerTimeout, now), weak, policy))
+        assertTrue(followsProgress(OwnershipView(strong, seenAt, now), weak, policy))
+        assertTrue(followsProgress(OwnershipView(strong, now, now), candidate.copy(capacity = 1.5), policy))
+    }
+
+    /** Guards against all weak instances reading jobs and progress at once after the store was away for seconds. */
+    @Test
+    fun `an instance that cannot read the log does not take the owner for silent`() {
+        val view = OwnershipView(weakOwner.copy(capacity = 1.5), now - 60.seconds, now - 59.seconds)
+        assertFalse(followsProgress(view, candidate.copy(capacity = 0.36), policy))
     }
 
     @Test
