Skip entries of executors with odd numbers, names or addresses

Seen: with one odd entry among the executors', no job runs any more: the owner ends, and so does its successor. Cause: a key or host that cannot be sent throws within the request; a key of 255 bytes is longer than a record's key when the owner records the executor; a start in the future makes every later report of that executor old; amounts out of range become the largest number and overflow sums. Change: an entry whose start lies over an hour in the future, or with an amount, name, address or label out of range, names no executor; it is skipped with one line.

--- a/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
@@ -225,7 +225,7 @@
             reports -= executorOfKey(record.key)
             return
         }
-        readExecutorReport(record.key, value)?.let { reports[it.identifier] = it }
+        readExecutorReport(record.key, value, clock.wallTime())?.let { reports[it.identifier] = it }
     }
 
     private fun startWatcher(identifier: ExecutorIdentifier, scope: CoroutineScope): ExecutorWatcher {
--- /dev/null
+++ b/node/src/test/kotlin/dogwoodgrade/node/OddEntriesPathTest.kt
@@ -0,0 +1,92 @@
+package dogwoodgrade.node
+
+import dogwoodgrade.platform.standin.StandInExecutor
+import kotlinx.coroutines.runBlocking
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+/** Runs entry instances against the stand-in platform, whose records and callers are odd. */
+class OddEntriesPathTest {
+    private fun onPlatform(executors: Int, test: suspend TestPlatform.() -> Unit) =
+        runBlocking {
+            val platform = TestPlatform()
+            try {
+                platform.start(executors)
+                platform.test()
+            } finally {
+                platform.stop()
+            }
+        }
+
+    private fun TestPlatform.submit(job: String, body: String = TestPlatform.TWO_STEPS): Int =
+        call(nodes[0], "POST", "/queue/$job", body).first
+
+    private suspend fun TestPlatform.awaitCompleted(job: String) =
+        await("$job completed") { call(nodes[0], "GET", "/queue/$job").second == """{"state":"completed"}""" }
+
+    /** Guards against an owner that ends, or no longer follows the live list, because of one entry in it. */
+    @Test
+    fun `odd entries among the executors neither end the owner nor hide executors that register later`() =
+        onPlatform(executors = 1) {
+            val early = ODD_ENTRIES.entries.take(ODD_ENTRIES.size / 2)
+            early.forEach { (key, value) -> store.write(EXECUTORS, key, value) }
+            awaitReady(startNode("entry-0"))
+            assertEquals(200, submit("a1"))
+            awaitCompleted("a1")
+            (ODD_ENTRIES.entries - early.toSet()).forEach { (key, value) -> store.write(EXECUTORS, key, value) }
+            val late = StandInExecutor(executorVertx, "late", "pool", "zone-a", 300)
+            executors += late
+            store.write(EXECUTORS, "late", late.start())
+            repeat(6) { job -> assertEquals(200, submit("b$job", WIDE)) }
+            repeat(6) { job -> awaitCompleted("b$job") }
+            await("runs on the late executor") { late.startedRuns.isNotEmpty() }
+        }
+
+    /** Guards against an executor that is lost for good because another writer gave it a start in the far future. */
+    @Test
+    fun `an executor whose entry was odd for a while is used once it reports again`() =
+        onPlatform(executors = 0) {
+            val executor = StandInExecutor(executorVertx, "x0", "pool", "zone-a", 300)
+            executors += executor
+            val entry = executor.start()
+            awaitReady(startNode("entry-0"))
+            store.write(EXECUTORS, "x0", entry.replace(Regex(""""born":\d+"""), """"born":9000000000000000"""))
+            kotlinx.coroutines.delay(500)
+            store.write(EXECUTORS, "x0", entry)
+            assertEquals(200, submit("a1"))
+            awaitCompleted("a1")
+        }
+
+    private companion object {
+        const val EXECUTORS = "keyed.servers"
+        const val NESTING = 100_000
+        const val WIDE = """{"spec":"text","steps":[{"count":24,"cpu":1000,"mem-mb":100,"estimate-ms":300}]}"""
+        val NESTED = "[".repeat(NESTING) + "]".repeat(NESTING)
+
+        fun entry(address: String = "127.0.0.1:9", cpu: String = "1000", born: String = "1") =
+            """{"service":"pool","address":"$address","zone":"zone-b","state":"ready","born":$born,
+            "capacity":{"cpu":$cpu,"mem-mb":1000,"gpu":0},"labels":["a","r1-1"]}"""
+
+        val ODD_ENTRIES: Map<String, String> =
+            mapOf(
+                "nested" to NESTED,
+                "nested-field" to """{"service":"pool","labels":$NESTED}""",
+                "capacity" to entry(cpu = "1e400"),
+                "capacity-sum" to entry(cpu = "9223372036854775807"),
+                "negative" to entry(cpu = "-1"),
+                "nan" to entry(cpu = "NaN"),
+                "born" to entry(born = "1e30"),
+                "port" to entry(address = "127.0.0.1:70000"),
+                "no-port" to entry(address = "127.0.0.1:0"),
+                "host" to entry(address = "a b:80"),
+                "host-control" to entry(address = "a\\u0000:80"),
+                "key control\u0000\r\n" to entry(),
+                "key-\u00e9" to entry(),
+                "k".repeat(255) to entry(),
+                "long-text" to entry().replace("zone-b", "\\u0001".repeat(40_000)),
+                "bytes" to "\u0000\uffff{",
+                "list" to "[]",
+                "state" to entry().replace("ready", "asleep"),
+            )
+    }
+}
--- a/node/src/test/kotlin/dogwoodgrade/node/TestPlatform.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/TestPlatform.kt
@@ -63,6 +63,9 @@
 ) {
     private val vertx: Vertx = Vertx.vertx()
     private val client = HttpClient.newHttpClient()
+
+    /** Runs the store and the executors. */
+    val executorVertx: Vertx get() = vertx
     val store = StandInStore(vertx)
     val executors = mutableListOf<StandInExecutor>()
     val nodes = mutableListOf<TestNode>()
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Resources.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Resources.kt
@@ -28,7 +28,14 @@
             (memory == 0L || inUse.memory + request.memory <= memory) &&
             (accelerators == 0L || inUse.accelerators + request.accelerators <= accelerators)
 
+    /** Whether every dimension is an amount that an executor may offer or a task may request. */
+    public val isPlausible: Boolean
+        get() = listOf(processor, memory, accelerators).all { it in 0..LARGEST_AMOUNT }
+
     public companion object {
+        /** Largest plausible amount: the sum over all executors fits into 64 bits with a wide margin. */
+        public const val LARGEST_AMOUNT: Long = 1_000_000_000
+
         /** No resources. */
         public val None: Resources = Resources()
     }
