Refuse jobs with odd names and jobs that the owner cannot hold

Seen: one caller can end the process that it calls, or each owner in turn. Cause: a name of over 251 bytes becomes a key of over 255 bytes and fails a check in the only coroutine that appends submissions. A step of a billion tasks makes the owner create as many rows. The progress of a job of many tasks is larger than the store's largest record, so that the owner's append is refused for good. A name with dots breaks the names of its tasks. Evidence: a name of 300 bytes got 504 and the next submission 503, after IllegalArgumentException: "key "job/aaa..." in the appending coroutine. A body of 100,000 brackets got no answer, after StackOverflowError. Change: a name is 1 to 64 letters, digits, '-' and '_'.

--- a/node/src/main/kotlin/dogwoodgrade/node/CallerHandler.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/CallerHandler.kt
@@ -8,6 +8,7 @@
 import dogwoodgrade.platform.readSubmission
 import dogwoodgrade.scheduling.Job
 import dogwoodgrade.scheduling.JobIdentifier
+import dogwoodgrade.scheduling.jobIdentifierOrNull
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -69,7 +70,7 @@
         }
         val name = request.path.removePrefix(route.pathPrefix)
         if (name.isEmpty()) return pending(route.queue)
-        val identifier = JobIdentifier(name)
+        val identifier = jobIdentifierOrNull(name) ?: return JobApiReply.Malformed
         return when (request.verb) {
             JobOperation.Submit -> submit(request, current, route, team.takeIf { !route.openToAll }, identifier)
             JobOperation.Query -> query(identifier)
@@ -113,6 +114,7 @@
                 JobApiReply.Accepted
             }
             IntakeOutcome.NotDone -> refuse("the store does not take the job", request)
+            IntakeOutcome.TooLarge -> JobApiReply.Malformed
             IntakeOutcome.Unknown -> {
                 logger.info { "caller: outcome unknown job=$identifier queue=${route.queue}" }
                 JobApiReply.Unknown
@@ -149,6 +151,7 @@
                 JobApiReply.Accepted
             }
             IntakeOutcome.NotDone -> refuse("the store does not take the cancellation", request)
+            IntakeOutcome.TooLarge -> JobApiReply.Malformed
             IntakeOutcome.Unknown -> JobApiReply.Unknown
         }
     }
--- a/node/src/main/kotlin/dogwoodgrade/node/JobIntake.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/JobIntake.kt
@@ -3,6 +3,7 @@
 import dogwoodgrade.platform.Producer
 import dogwoodgrade.platform.StoreClient
 import dogwoodgrade.platform.Topic
+import dogwoodgrade.platform.fitsIntoRecord
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.channels.Channel
@@ -25,11 +26,14 @@
 /** Pause between two attempts of an append. */
 private val ATTEMPT_PAUSE: Duration = 40.milliseconds
 
+/** Number of characters of a refused key that are logged. */
+private const val LONGEST_LOGGED_KEY = 80
+
 /** Longest time that a record waits behind an append of unknown outcome before its caller is refused. */
 private val LONGEST_QUEUEING_TIME: Duration = 400.milliseconds
 
 /** Outcome of the append of a record. */
-internal enum class IntakeOutcome { Durable, NotDone, Unknown }
+internal enum class IntakeOutcome { Durable, NotDone, TooLarge, Unknown }
 
 private enum class IntakePhase { Waiting, Sent, Withdrawn }
 
@@ -66,6 +70,10 @@
 
     /** Appends a record and waits at most [limit] for the outcome. */
     suspend fun append(key: String, value: ByteArray?, limit: Duration): IntakeOutcome {
+        if (!fitsIntoRecord(key, value)) {
+            logger.warn { "intake: record refused, too large key=${key.take(LONGEST_LOGGED_KEY)} bytes=${value?.size}" }
+            return IntakeOutcome.TooLarge
+        }
         val item = IntakeItem(key, value)
         if (!queue.trySend(item).isSuccess) return IntakeOutcome.NotDone
         val queueingLimit = minOf(limit, LONGEST_QUEUEING_TIME)
--- a/node/src/test/kotlin/dogwoodgrade/node/OddEntriesPathTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/OddEntriesPathTest.kt
@@ -57,6 +57,28 @@
             awaitCompleted("a1")
         }
 
+    /** Guards against callers that end the process, or whose job the owner cannot hold in memory. */
+    @Test
+    fun `odd requests of callers are malformed and later ones are served`() =
+        onPlatform(executors = 1) {
+            awaitReady(startNode("entry-0"))
+            val names = listOf("a".repeat(65), "a".repeat(300), "a.b", "a/b", "a@b", "a%20b", "%00", "%C3%A9", "..")
+            for (name in names) {
+                for (verb in listOf("POST", "GET", "DELETE")) {
+                    val body = TestPlatform.TWO_STEPS.takeIf { verb == "POST" }
+                    assertEquals(400, call(nodes[0], verb, "/queue/$name", body).first, "$verb $name")
+                }
+            }
+            assertEquals(400, submit("a1", NESTED))
+            assertEquals(400, submit("a1", """{"spec":"x","steps":[{"count":1000000000,"cpu":1}]}"""))
+            assertEquals(400, submit("a1", """{"spec":"x","steps":[{"count":1}],"repeat-count":1000000000}"""))
+            assertEquals(400, submit("a1", """{"spec":"${"x".repeat(300_000)}","steps":[{"count":1}]}"""))
+            assertEquals(200, submit("a1"))
+            assertEquals(200, submit("5c0e7a21d94b36f8"))
+            assertEquals(200, submit("A_b-1" + "0".repeat(59)))
+            awaitCompleted("a1")
+        }
+
     private companion object {
         const val EXECUTORS = "keyed.servers"
         const val NESTING = 100_000
