Skip damaged records of the log whatever is wrong with them

Seen: one damaged record, or one of another version, ends each process that reads it, some of them only when a caller asks for the job, since jobs are decoded on first use. Cause: only SerializationException was caught, but the library also throws IllegalArgumentException itself; a decoded job may have a negative number of tasks, progress may name occurrences that the job does not have, and an epoch may be so large that the run numbers of the next term overflow. Change: FleetRecords.decode, the one place for these records, skips a record for either exception; the forms check the limits of jobs, amounts, times and epochs; keys with identifiers that no job can have are ignored; progress creates only occurrences that the job has.

--- a/node/src/main/kotlin/dogwoodgrade/node/FleetRecordForms.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/FleetRecordForms.kt
@@ -1,5 +1,6 @@
 package dogwoodgrade.node
 
+import dogwoodgrade.platform.LATEST_TIME
 import dogwoodgrade.scheduling.ExecutorIdentifier
 import dogwoodgrade.scheduling.ExecutorReport
 import dogwoodgrade.scheduling.Job
@@ -11,6 +12,7 @@
 import dogwoodgrade.scheduling.StartedRun
 import dogwoodgrade.scheduling.Step
 import dogwoodgrade.scheduling.TaskPosition
+import dogwoodgrade.scheduling.isWithinLimits
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
@@ -33,6 +35,8 @@
     fun toReport(identifier: ExecutorIdentifier): ExecutorReport {
         if (capacity.size != 3) throw SerializationException("capacity $capacity does not have 3 values")
         val resources = Resources(capacity[0], capacity[1], capacity[2])
+        require(incarnation in 0..LATEST_TIME) { "the time $incarnation is out of range" }
+        require(resources.isPlausible) { "capacity $capacity is out of range" }
         return ExecutorReport(identifier, incarnation, pool, address, zone, false, resources, labels)
     }
 
@@ -78,19 +82,14 @@
     @SerialName("s") val steps: List<StepRecord>,
     @SerialName("r") val repetition: RepetitionRecord? = null,
 ) {
-    fun toJob(identifier: JobIdentifier): Job =
-        Job(
-            identifier,
-            queue,
-            pool,
-            team,
-            payload,
-            steps.map { it.toStep() },
-            repetition?.let {
-                Repetition(it.occurrences, Instant.fromEpochMilliseconds(it.start), it.interval.milliseconds)
-            },
-            Instant.fromEpochMilliseconds(acceptedAt),
-        )
+    fun toJob(identifier: JobIdentifier): Job {
+        val decodedSteps = steps.map { it.toStep() }
+        val decodedRepetition = repetition?.toRepetition()
+        require(isWithinLimits(decodedSteps, decodedRepetition)) { "the job is beyond the limits" }
+        require(acceptedAt in 0..LATEST_TIME) { "the time $acceptedAt is out of range" }
+        val accepted = Instant.fromEpochMilliseconds(acceptedAt)
+        return Job(identifier, queue, pool, team, payload, decodedSteps, decodedRepetition, accepted)
+    }
 
     companion object {
         fun of(job: Job): JobRecord =
@@ -113,7 +112,12 @@
     val occurrences: Int,
     val start: Long,
     val interval: Long,
-)
+) {
+    fun toRepetition(): Repetition {
+        require(start in 0..LATEST_TIME) { "the time $start is out of range" }
+        return Repetition(occurrences, Instant.fromEpochMilliseconds(start), interval.milliseconds)
+    }
+}
 
 @Serializable
 internal data class StepRecord(
--- a/node/src/main/kotlin/dogwoodgrade/node/FleetRecords.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/FleetRecords.kt
@@ -8,8 +8,8 @@
 import dogwoodgrade.scheduling.JobIdentifier
 import dogwoodgrade.scheduling.JobProgress
 import dogwoodgrade.scheduling.JobState
+import dogwoodgrade.scheduling.jobIdentifierOrNull
 import io.github.oshai.kotlinlogging.KotlinLogging
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 
 /**
@@ -23,6 +23,9 @@
 
     /** Key of the newest request for a handover, in the jobs topic, to which every entry instance may append. */
     const val HANDOVER_KEY: String = "handover"
+
+    /** Largest epoch for which the run numbers of a term, a million for each epoch, do not overflow. */
+    private const val LARGEST_EPOCH = 1_000_000_000_000
     private const val JOB_PREFIX = "job/"
     private const val CANCELLATION_PREFIX = "cancel/"
     private const val PROGRESS_PREFIX = "progress/"
@@ -58,7 +61,7 @@
     fun stateJobOf(key: String): JobIdentifier? = identifier(key, STATE_PREFIX)
 
     private fun identifier(key: String, prefix: String): JobIdentifier? =
-        if (key.startsWith(prefix)) JobIdentifier(key.removePrefix(prefix)) else null
+        if (key.startsWith(prefix)) jobIdentifierOrNull(key.removePrefix(prefix)) else null
 
     fun encode(job: Job): ByteArray = json.encodeToString(JobRecord.of(job)).encodeToByteArray()
 
@@ -102,6 +105,7 @@
     fun decodeOwner(value: ByteArray): OwnershipRecord? =
         decode("owner") {
             val record = json.decodeFromString<OwnerRecord>(value.decodeToString())
+            requireEpoch(record.epoch)
             OwnershipRecord(
                 record.epoch,
                 record.owner,
@@ -118,13 +122,17 @@
     fun decodeHandover(value: ByteArray): HandoverRequest? =
         decode("handover") {
             val record = json.decodeFromString<HandoverRecord>(value.decodeToString())
+            requireEpoch(record.epoch)
             HandoverRequest(record.epoch, record.candidate)
         }
 
+    private fun requireEpoch(epoch: Long) = require(epoch in 1..LARGEST_EPOCH) { "epoch $epoch is out of range" }
+
     private fun <T> decode(recordDescription: String, read: () -> T): T? =
         try {
             read()
-        } catch (failure: SerializationException) {
+        } catch (failure: IllegalArgumentException) {
+            // A SerializationException is one, as is the exception of a value that a record does not take.
             logger.warn { "records: skipped malformed $recordDescription: ${failure.message}" }
             null
         }
--- a/node/src/test/kotlin/dogwoodgrade/node/OddEntriesPathTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/OddEntriesPathTest.kt
@@ -57,6 +57,24 @@
             awaitCompleted("a1")
         }
 
+    /** Guards against records in the topics of the processes themselves that end each process that reads them. */
+    @Test
+    fun `odd records of the log neither end a process nor hide later ones`() =
+        onPlatform(executors = 1) {
+            val keys = listOf("job/odd", "cancel/odd", "progress/odd", "state/odd", "executor/odd", "maintained/")
+            for (topic in listOf("jobs", "progress", "states")) {
+                ODD_RECORDS.forEachIndexed { number, value ->
+                    keys.forEach { store.write("keyed.dogwoodgrade-$topic", "$it$number", value) }
+                    listOf("owner", "handover").forEach { store.write("keyed.dogwoodgrade-$topic", it, value) }
+                }
+            }
+            store.write("keyed.op", "wave/1", """{"wave":1,"machines":["m"],"duration-s":NaN,"cap":1e400}""")
+            store.write("keyed.op", "wave/2", NESTED)
+            awaitReady(startNode("entry-0"))
+            assertEquals(200, submit("a1"))
+            awaitCompleted("a1")
+        }
+
     /** Guards against callers that end the process, or whose job the owner cannot hold in memory. */
     @Test
     fun `odd requests of callers are malformed and later ones are served`() =
@@ -110,5 +128,19 @@
                 "list" to "[]",
                 "state" to entry().replace("ready", "asleep"),
             )
+        val ODD_RECORDS =
+            listOf(
+                NESTED,
+                """{"unknown":$NESTED}""",
+                "{",
+                "\u0000",
+                """{"q":"queue","p":"pool","a":1,"s":[{"n":-1}]}""",
+                """{"q":"queue","p":"pool","a":9223372036854775807,"s":[{"n":2000000000,"e":9223372036854775807}]}""",
+                """{"q":"queue","p":"pool","a":1,"s":[{"n":1}],"r":{"occurrences":-1,"start":1,"interval":-1}}""",
+                """{"s":"Active","d":["-1.-1.-1"],"r":{"2147483647.0.0":"9223372036854775807@x"}}""",
+                """{"epoch":9223372036854775807,"owner":"o","incarnation":"i"}""",
+                """{"b":9223372036854775807,"p":"pool","a":"x:99999","z":"z","c":[9223372036854775807,1,1],"l":[]}""",
+                """{"b":1,"p":"pool","a":"127.0.0.1:9","z":"z","c":[1],"l":[]}""",
+            )
     }
 }
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobTransitions.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobTransitions.kt
@@ -33,7 +33,10 @@
     private fun restore(row: JobRow, progress: JobProgress, now: Instant) {
         val positions =
             progress.completed + progress.failures.keys + progress.started.keys + progress.abandoned.keys
-        positions.mapTo(mutableSetOf()) { it.occurrence }.forEach { createOccurrence(row, it) }
+        positions
+            .mapTo(mutableSetOf()) { it.occurrence }
+            .filter { it in 0..<row.job.occurrences }
+            .forEach { createOccurrence(row, it) }
         for (task in row.allTasks()) {
             val position = task.name.position
             if (position in progress.completed) task.phase = TaskPhase.Done
