--- a/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
@@ -204,7 +204,8 @@
             configure(schedule)
             for (identifier in identifiers) {
                 val knownJob = node.jobs[identifier] ?: continue
-                val job = checkNotNull(knownJob.job) { "the owner's table has no record of job $identifier" }
+                // A damaged record is logged where it is decoded.
+                val job = knownJob.job ?: continue
                 states.publishAccepted(identifier, job.queue)
                 schedule.accept(job, knownJob.progress, now, clock.wallTime())
                 if (knownJob.cancelled) schedule.cancel(identifier, now)
@@ -231,7 +232,7 @@
             reports -= executorOfKey(record.key)
             return
         }
-        readExecutorReport(record.key, value)?.let { reports[it.identifier] = it }
+        readExecutorReport(record.key, value, clock.wallTime())?.let { reports[it.identifier] = it }
     }
 
     private fun startWatcher(identifier: ExecutorIdentifier, scope: CoroutineScope): ExecutorWatcher {
