Start nothing on an executor whose entry has become malformed

Callers would see: tasks that start on an executor which its entry no longer names, for example because another writer has replaced the entry.

Change: a malformed entry removes the executor from the live list; what runs on it goes on, and it is used again when it reports. The tests of odd records use the present name of the summary, and the platform's set-up of NodePathTest.

--- a/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
@@ -227,12 +227,10 @@
     }
 
     private fun applyReport(record: KeyedRecord) {
-        val value = record.value
-        if (value == null) {
-            reports -= executorOfKey(record.key)
-            return
-        }
-        readExecutorReport(record.key, value, clock.wallTime())?.let { reports[it.identifier] = it }
+        // A malformed entry names no executor to use, also if a valid one was there before.
+        val report = record.value?.let { readExecutorReport(record.key, it, clock.wallTime()) }
+        val identifier = executorOfKey(record.key)
+        if (report == null) reports -= identifier else reports[identifier] = report
     }
 
     private fun startWatcher(identifier: ExecutorIdentifier, scope: CoroutineScope): ExecutorWatcher {
--- a/node/src/test/kotlin/dogwoodgrade/node/OddEntriesPathTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/OddEntriesPathTest.kt
@@ -1,23 +1,12 @@
 package dogwoodgrade.node
 
 import dogwoodgrade.platform.standin.StandInExecutor
-import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.delay
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
 /** Runs entry instances against the stand-in platform, whose records and callers are odd. */
 class OddEntriesPathTest {
-    private fun onPlatform(executors: Int, test: suspend TestPlatform.() -> Unit) =
-        runBlocking {
-            val platform = TestPlatform()
-            try {
-                platform.start(executors)
-                platform.test()
-            } finally {
-                platform.stop()
-            }
-        }
-
     private fun TestPlatform.submit(job: String, body: String = TestPlatform.TWO_STEPS): Int =
         call(nodes[0], "POST", "/queue/$job", body).first
 
@@ -27,7 +16,7 @@
     /** Guards against an owner that ends, or no longer follows the live list, because of one entry in it. */
     @Test
     fun `odd entries among the executors neither end the owner nor hide executors that register later`() =
-        onPlatform(executors = 1) {
+        onPlatform(executors = 1, nodes = 0) {
             val early = ODD_ENTRIES.entries.take(ODD_ENTRIES.size / 2)
             early.forEach { (key, value) -> store.write(EXECUTORS, key, value) }
             awaitReady(startNode("entry-0"))
@@ -45,27 +34,48 @@
     /** Guards against an executor that is lost for good because another writer gave it a start in the far future. */
     @Test
     fun `an executor whose entry was odd for a while is used once it reports again`() =
-        onPlatform(executors = 0) {
+        onPlatform(executors = 0, nodes = 0) {
             val executor = StandInExecutor(executorVertx, "x0", "pool", "zone-a", 300)
             executors += executor
             val entry = executor.start()
             awaitReady(startNode("entry-0"))
             store.write(EXECUTORS, "x0", entry.replace(Regex(""""born":\d+"""), """"born":9000000000000000"""))
-            kotlinx.coroutines.delay(500)
+            delay(500)
             store.write(EXECUTORS, "x0", entry)
             assertEquals(200, submit("a1"))
             awaitCompleted("a1")
         }
 
+    /** Guards against tasks that start on an executor whose entry another writer has replaced. */
+    @Test
+    fun `an executor whose entry has become malformed gets no new tasks until it reports again`() =
+        onPlatform(executors = 1, nodes = 0) {
+            awaitReady(startNode("entry-0"))
+            assertEquals(200, submit("a1"))
+            awaitCompleted("a1")
+            store.write(EXECUTORS, "x0", """{"state":"ready"}""")
+            delay(1000)
+            val before = executors.single().startedRuns.size
+            assertEquals(200, submit("a2"))
+            delay(1000)
+            assertEquals(before, executors.single().startedRuns.size)
+            store.write(EXECUTORS, "x0", executors.single().report())
+            awaitCompleted("a2")
+        }
+
     /** Guards against records in the topics of the processes themselves that end each process that reads them. */
     @Test
     fun `odd records of the log neither end a process nor hide later ones`() =
-        onPlatform(executors = 1) {
+        onPlatform(executors = 1, nodes = 0) {
             val keys = listOf("job/odd", "cancel/odd", "progress/odd", "state/odd", "executor/odd", "maintained/")
-            for (topic in listOf("jobs", "progress", "states")) {
+            for (topic in listOf("jobs", "progress", "job-states")) {
                 ODD_RECORDS.forEachIndexed { number, value ->
                     keys.forEach { store.write("keyed.dogwoodgrade-$topic", "$it$number", value) }
-                    listOf("owner", "handover").forEach { store.write("keyed.dogwoodgrade-$topic", it, value) }
+                    listOf(
+                        "owner",
+                        "handover",
+                        "jobs-read",
+                    ).forEach { store.write("keyed.dogwoodgrade-$topic", it, value) }
                 }
             }
             store.write("keyed.op", "wave/1", """{"wave":1,"machines":["m"],"duration-s":NaN,"cap":1e400}""")
@@ -78,7 +88,7 @@
     /** Guards against callers that end the process, or whose job the owner cannot hold in memory. */
     @Test
     fun `odd requests of callers are malformed and later ones are served`() =
-        onPlatform(executors = 1) {
+        onPlatform(executors = 1, nodes = 0) {
             awaitReady(startNode("entry-0"))
             val names = listOf("a".repeat(65), "a".repeat(300), "a.b", "a/b", "a@b", "a%20b", "%00", "%C3%A9", "..")
             for (name in names) {
