Let full pools show their demand while starts are limited

Cause: after the limit of 160 unsent starts was reached in any pool, the waiting and arriving work of all pools counted as zero for 1 s. Change: while starts are limited, a pool that is 80% full in processors or in memory shows its demand; one with room still waits for the owner.

--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetView.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetView.kt
@@ -52,11 +52,15 @@
 /** Fraction of the tasks of late jobs that counts as demand; such jobs can no longer meet their objective. */
 private const val LATE_DEMAND_SHARE: Double = 0.25
 
+/** Fraction of its capacity from which on a pool counts as full; large tasks do not fill executors exactly. */
+private const val FULL_POOL_SHARE: Double = 0.8
+
 /**
  * Returns the load of the fleet.
  *
- * @param startsLimited whether the owner cannot start tasks as fast as machines could take them; work that waits for
- * the owner needs no further machines, and would leave them half empty
+ * @param startsLimited whether the owner does not start tasks as fast as they become ready. In a pool that has room,
+ * they wait for the owner, and further machines would stay half empty; in a pool that is full, they wait for machines.
+ * After a takeover the limit is reached by whatever has accumulated, also by an owner that is fast enough.
  */
 internal fun fleetView(
     tables: FleetTables,
@@ -72,19 +76,26 @@
     val pools =
         tables.configuration.pools.keys.associateWith { pool ->
             val executors = tables.executors.values.filter { it.report.pool == pool && it.usable(now) }
+            val used = executors.sum { it.used }
+            val capacity = executors.sum { it.report.capacity }
+            val waitsForOwner = startsLimited && !isFull(used, capacity)
             PoolLoad(
                 pool,
-                executors.sum { it.used },
-                if (startsLimited) Resources.None else waitingRequest(tables, pool, remainingCaps, now, wallTime),
-                if (startsLimited) Resources.None else arrivals.rate(pool, now),
+                used,
+                if (waitsForOwner) Resources.None else waitingRequest(tables, pool, remainingCaps, now, wallTime),
+                if (waitsForOwner) Resources.None else arrivals.rate(pool, now),
                 minimumExecutorsByPool[pool] ?: 0,
-                executors.sum { it.report.capacity },
+                capacity,
                 tables.configuration.pools[pool]?.standby == true,
             )
         }
     return FleetView(pools, tables.executors.mapValues { (_, row) -> loadOf(row, now) }, tables.zones.silent)
 }
 
+/** Returns whether a pool has hardly any room for further tasks, be it for want of processors or of memory. */
+private fun isFull(used: Resources, capacity: Resources): Boolean =
+    used.processor >= capacity.processor * FULL_POOL_SHARE || used.memory >= capacity.memory * FULL_POOL_SHARE
+
 /** Returns, by pool, how many executors its long-running steps with a limit on tasks per executor need. */
 private fun minimumExecutorsByPool(tables: FleetTables): Map<String, Int> {
     val minimumExecutorsByPool = mutableMapOf<String, Int>()
