Count an owner as silent for a claim only by its progress

Callers would see: a living owner that is fenced, and a second takeover when a stronger instance asks for the handover.

Cause: an instance that changes from the summary to the progress took the last sign of life from the summary, and the time of the first read of the progress as the time up to which the owner was silent. It claimed at once if only the summary had been silent.

Change: a claim counts silence from the begin of reading the progress, or from its last record. The table remembers of which owner the summary has a record. A fleet that has only weak instances left is without an owner for up to 1.2 s longer.

--- a/node/src/main/kotlin/dogwoodgrade/node/OwnershipTable.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnershipTable.kt
@@ -18,19 +18,27 @@
 ) {
     private var record: OwnershipRecord? = null
     private var signAt: Instant = Instant.DISTANT_PAST
+
+    /** Time of the last sign of life in the progress; the summary may be silent while the progress is not. */
+    private var progressSignAt: Instant = Instant.DISTANT_PAST
     private var readAt: Instant = Instant.DISTANT_PAST
     private var recordSince: Instant = Instant.DISTANT_PAST
     private var handover: HandoverRequest? = null
     private var nextOffset: Long? = null
     private var summaryReadAt: Instant? = null
+    private var summarizedEpoch: Long? = null
     private var lease: Lease? = null
 
     /** Applies records of the progress topic. Each one is a sign of life of the owner: lower epochs cannot append. */
     @Synchronized
     fun applyRecords(followed: FollowedRecords, now: Instant) {
-        if (nextOffset == null) recordSince = now
+        if (nextOffset == null) {
+            recordSince = now
+            progressSignAt = now
+        }
         for (entry in followed.records) applyOwner(entry, now)
         recordSign(followed, now)
+        if (followed.records.isNotEmpty() && !followed.snapshot) progressSignAt = now
         nextOffset = followed.nextOffset
         if (followed.reachedEnd) readAt = now
     }
@@ -65,6 +73,7 @@
         if (summaryReadAt == null) recordSince = now
         if (followed.reachedEnd || summaryReadAt == null) summaryReadAt = now
         for (entry in followed.records) applyOwner(entry, now)
+        if (followed.records.any { it.key == FleetRecords.OWNER_KEY }) summarizedEpoch = record?.epoch
         recordSign(followed, now)
     }
 
@@ -84,7 +93,12 @@
 
     /** Returns the known ownership, or `null` if the topic is not read. */
     @Synchronized
-    fun view(): OwnershipView? = if (nextOffset == null) null else OwnershipView(record, signAt, readAt, recordSince)
+    fun view(): OwnershipView? =
+        if (nextOffset == null) null else OwnershipView(record, progressSignAt, readAt, recordSince)
+
+    /** Tells whether the owner of [epoch] has written to the summary. */
+    @Synchronized
+    fun hasSummaryOf(epoch: Long): Boolean = summarizedEpoch == epoch
 
     /** Returns the offset up to which the topic has been read. */
     @Synchronized
--- a/node/src/test/kotlin/dogwoodgrade/node/TablesTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/TablesTest.kt
@@ -236,10 +236,15 @@
         val snapshot = FollowedRecords(listOf(owner), true, 4, true)
         table.applySummary(snapshot, now)
         assertEquals(now, table.summary()?.ownerSeenAt)
+        table.applySummary(snapshot, now + 4.seconds)
+        assertEquals(now, table.summary()?.ownerSeenAt)
         table.applyRecords(snapshot, now + 5.seconds)
-        assertEquals(now, table.view()?.ownerSeenAt)
+        assertEquals(now, table.summary()?.ownerSeenAt)
+        table.applyRecords(snapshot, now + 5.seconds + 500.milliseconds)
+        assertEquals(now + 5.seconds, table.view()?.ownerSeenAt)
         table.applyRecords(snapshot.copy(snapshot = false), now + 6.seconds)
         assertEquals(now + 6.seconds, table.view()?.ownerSeenAt)
+        assertEquals(now + 6.seconds, table.summary()?.ownerSeenAt)
     }
 
     @Test
