Give signs of life while the summary is loaded, and remove states without a job

Callers would see: weak instances that read jobs and progress over narrow links after a takeover; a job that waits or has completed for ever, although the log no longer has it.

Cause: a new owner wrote nothing to the summary until it had read it, up to 10 s if the reads failed, while 2.2 s without a sign make its readers change to jobs and progress. The states of jobs that an owner had forgotten but not yet removed were taken over by every later one. Appends to the summary that failed were not logged.

Change: the publisher starts with the term, appends the owner's record every 0.3 s while it loads, gives up after 3 failed reads, removes the states of jobs that the log does not have, and logs appends that fail for 1 s.

--- a/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
@@ -127,10 +127,10 @@
 
     private suspend fun runOwnerTasks(): Unit =
         coroutineScope {
+            launch { states.run() }
             catchUp()
             loadJobs()
             workers.start(this)
-            launch { states.run() }
             val list =
                 TopicFollower(node.store, Topic.Executors, clock, { LIVE_LIST_READ_PAUSE }, node.storeAvailability) {
                     applyLiveListRecords(it, this)
@@ -187,6 +187,7 @@
             val ended = node.jobs.ended()
             // The previous owner may have ended between the append of the progress and that of the state.
             (unfinished.keys + ended).forEach { job -> node.jobs[job]?.let { states.publish(job, it.state) } }
+            states.retain(unfinished.keys + ended)
             states.publishPosition(position)
             schedule.recordEndedJobs(ended, now)
             logger.info { "owner: loaded unfinished=${unfinished.size} ended=${ended.size}" }
--- a/node/src/main/kotlin/dogwoodgrade/node/StatePublisher.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/StatePublisher.kt
@@ -30,7 +30,10 @@
 private const val MAX_STATES_PER_APPEND = 4000
 
 /** Number of failed reads of the summary after which a new owner publishes all states anew. */
-private const val MAX_LOAD_FAILURES = 10
+private const val MAX_LOAD_FAILURES = 3
+
+/** Shortest time between two log lines about failed attempts of one append. */
+private val FAILURE_LOG_INTERVAL: Duration = 1000.milliseconds
 
 /** A change of the summary. */
 private sealed interface SummaryChange {
@@ -47,6 +50,9 @@
 
     data class Removed(val job: JobIdentifier) : SummaryChange
 
+    /** The jobs that the log has; the owner before may have ended before it removed the states of others. */
+    data class Existing(val jobs: Set<JobIdentifier>) : SummaryChange
+
     /** All jobs that were accepted before [offset] in the jobs topic are in the summary. */
     data class Position(val offset: Long) : SummaryChange
 }
@@ -62,7 +68,7 @@
 internal class StatePublisher(
     private val store: StoreClient,
     storeAvailability: StoreAvailability,
-    clock: NodeClock,
+    private val clock: NodeClock,
     private val record: OwnershipRecord,
     private val queueOf: (JobIdentifier) -> String?,
 ) {
@@ -70,6 +76,7 @@
     private val changes = Channel<SummaryChange>(Channel.UNLIMITED)
     private val published = mutableMapOf<JobIdentifier, PublishedState>()
     private var sequence = 0L
+    private var appendedAt = clock.now()
 
     /** Publishes a job that was accepted. */
     fun publishAccepted(job: JobIdentifier, queue: String) {
@@ -86,6 +93,11 @@
         changes.trySend(SummaryChange.Removed(job))
     }
 
+    /** Removes the states of all jobs but [jobs], which are all that the log has. */
+    fun retain(jobs: Set<JobIdentifier>) {
+        changes.trySend(SummaryChange.Existing(jobs))
+    }
+
     /** Publishes that all jobs before [offset] in the jobs topic have been published. */
     fun publishPosition(offset: Long) {
         changes.trySend(SummaryChange.Position(offset))
@@ -94,8 +106,7 @@
     /** Appends until another owner has taken over or the coroutine is cancelled. */
     suspend fun run() {
         // The first append fences the previous owner, so that what is read after it does not change any more.
-        if (!append(emptyList())) return
-        loadPublished()
+        if (!append(emptyList()) || !loadPublished()) return
         while (true) {
             val first = withTimeoutOrNull(SIGN_OF_LIFE_INTERVAL) { changes.receive() }
             if (!append(recordsOf(listOfNotNull(first) + waitingChanges()))) return
@@ -106,14 +117,27 @@
     private suspend fun append(records: List<Pair<String, ByteArray?>>): Boolean {
         val owner = FleetRecords.OWNER_KEY to FleetRecords.encode(record)
         val producer = Producer(OWNER_PRODUCER, record.epoch, ++sequence)
-        val outcome = appends.append(Topic.States, records + owner, producer)
+        var loggedAt = appendedAt
+        val outcome =
+            appends.append(Topic.States, records + owner, producer) { failed, sentAt ->
+                if (sentAt - loggedAt > FAILURE_LOG_INTERVAL) {
+                    loggedAt = sentAt
+                    logger.warn { "owner: states not appended records=${records.size} outcome=$failed" }
+                }
+            }
+        appendedAt = clock.now()
         val durable = outcome is KnownOutcome.Durable
         if (!durable) logger.info { "owner: states no longer published epoch=${record.epoch} outcome=$outcome" }
         return durable
     }
 
-    /** Reads what earlier owners have published, so that only differences are published. */
-    private suspend fun loadPublished() {
+    /**
+     * Reads what earlier owners have published, so that only differences are published. Without signs of life
+     * meanwhile, the instances that follow the summary would take the owner for silent.
+     *
+     * @return `false` if another owner has taken over
+     */
+    private suspend fun loadPublished(): Boolean {
         var after: String? = null
         var failures = 0
         while (failures < MAX_LOAD_FAILURES) {
@@ -127,8 +151,10 @@
                     after = outcome.lastKey ?: break
                 }
             }
+            if (clock.now() - appendedAt > SIGN_OF_LIFE_INTERVAL && !append(emptyList())) return false
         }
         logger.info { "owner: states loaded epoch=${record.epoch} jobs=${published.size} failures=$failures" }
+        return true
     }
 
     private fun loadState(record: KeyedRecord) {
@@ -150,10 +176,8 @@
                     val queue = known?.queue ?: queueOf(change.job)
                     if (queue != null && known?.state != change.state) put(change.job, change.state, queue, records)
                 }
-                is SummaryChange.Removed -> {
-                    published -= change.job
-                    records[FleetRecords.stateKey(change.job)] = null
-                }
+                is SummaryChange.Removed -> remove(change.job, records)
+                is SummaryChange.Existing -> (published.keys - change.jobs).forEach { remove(it, records) }
                 is SummaryChange.Position ->
                     records[FleetRecords.JOBS_POSITION_KEY] = FleetRecords.encodePosition(change.offset)
             }
@@ -161,6 +185,11 @@
         return records.toList()
     }
 
+    private fun remove(job: JobIdentifier, records: MutableMap<String, ByteArray?>) {
+        published -= job
+        records[FleetRecords.stateKey(job)] = null
+    }
+
     private fun put(job: JobIdentifier, state: JobState, queue: String, records: MutableMap<String, ByteArray?>) {
         val value = PublishedState(state, queue)
         published[job] = value
