Let reads for callers prove only what they can

Callers would see: 410 for a job that was accepted 3 s before (LOST), or a new owner without the jobs.

Cause: a read for an unknown job may take 10 s since responses may go on arriving, and was shared with callers that came later, as if it showed the log of their time.

Change: a read proves that a job does not exist for 2 s after it was sent, and is not waited for by callers that come 1 s later. An instance returns to the summary of an owner that has written one. Jobs without a record are dropped when all records have been read. A count also asks for the summary while the table is not complete.

--- a/node/src/main/kotlin/dogwoodgrade/node/JobTable.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/JobTable.kt
@@ -49,6 +49,16 @@
 private fun laterState(first: JobState, second: JobState): JobState =
     if (second.ended || first == JobState.Queued) second else first
 
+/**
+ * Position in the jobs topic up to which a complete table has all jobs.
+ *
+ * @property generation number of the filling of the table, which begins anew with each source and each snapshot
+ */
+internal data class JobReadPosition(
+    val generation: Int,
+    val offset: Long,
+)
+
 /**
  * All jobs in the log. Every entry instance keeps this table; a new owner builds its schedule from it.
  *
@@ -61,6 +71,7 @@
     private val jobs = mutableMapOf<JobIdentifier, KnownJob>()
     private var fromSummary = false
     private var complete = false
+    private var generation = 0
     private var nextOffset = 0L
 
     /** Whether the summary has named a position. */
@@ -70,6 +81,7 @@
     @Synchronized
     fun followRecords() {
         fromSummary = false
+        generation++
         complete = false
         nextOffset = 0
         positionKnown = false
@@ -79,6 +91,7 @@
     @Synchronized
     fun followSummary() {
         fromSummary = true
+        generation++
         complete = false
         nextOffset = 0
         positionKnown = false
@@ -152,6 +165,7 @@
     fun applySummary(followed: FollowedRecords) {
         followed.records.forEach { applyState(it) }
         if (followed.snapshot) {
+            generation++
             val present = followed.records.mapNotNullTo(mutableSetOf()) { FleetRecords.stateJobOf(it.key) }
             jobs.entries.removeIf { it.key !in present && it.value.state.ended }
         }
@@ -195,6 +209,29 @@
         if (reachedEnd) complete = true
     }
 
+    /** Drops the jobs that only the summary named, after all records of jobs have been applied. */
+    @Synchronized
+    fun dropJobsWithoutRecord() {
+        jobs.entries.removeIf { it.value.published != null && it.value.jobRecord == null }
+    }
+
+    /** Returns the position from which new jobs can be read, or `null` if the table is not complete. */
+    @Synchronized
+    fun readPosition(): JobReadPosition? = if (complete) JobReadPosition(generation, nextOffset) else null
+
+    /**
+     * Applies the [records] of the jobs topic that were read from [position] on.
+     *
+     * @return `false` if the table has begun to be filled anew since, so that the records may not be all that it lacks
+     */
+    @Synchronized
+    fun applyNewJobs(position: JobReadPosition, records: List<KeyedRecord>, nextOffset: Long): Boolean {
+        if (!complete || position.generation != generation) return false
+        records.forEach { applyJob(it) }
+        this.nextOffset = maxOf(this.nextOffset, nextOffset)
+        return true
+    }
+
     /** Returns the offset in the jobs topic up to which the table has all jobs, if it is complete. */
     @Synchronized
     fun readTo(): Long = nextOffset
--- a/node/src/main/kotlin/dogwoodgrade/node/LogFollowers.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/LogFollowers.kt
@@ -2,7 +2,6 @@
 
 import dogwoodgrade.ownership.Candidate
 import dogwoodgrade.ownership.OwnershipPolicy
-import dogwoodgrade.ownership.OwnershipRecord
 import dogwoodgrade.ownership.OwnershipView
 import dogwoodgrade.ownership.followsProgress
 import dogwoodgrade.platform.ReadOutcome
@@ -34,11 +33,14 @@
 /** Longest wait of a caller for a read of the newest records; what is known is shown then. */
 private val LONGEST_READ_WAIT: Duration = 300.milliseconds
 
+/** Longest wait of a caller for a read of the newest jobs. */
+private val LONGEST_JOB_READ_WAIT: Duration = 1.seconds
+
 /**
- * Longest wait of a caller for a read of the newest jobs. Such a read ends within twice that time, which is less than
- * the 3 s after which the platform expects an accepted job to be known everywhere.
+ * Age of a read up to which it proves that a job does not exist. Less than the 3 s after which the platform expects an
+ * accepted job to be known everywhere.
  */
-private val LONGEST_JOB_READ_WAIT: Duration = 1.seconds
+private val LONGEST_JOB_READ_AGE: Duration = 2.seconds
 
 /** Age up to which knowledge is used for a count without another read, each of which the store charges for. */
 private val FRESH_AGE: Duration = 1.seconds
@@ -46,6 +48,12 @@
 /** Pause of the owner between two reads of the jobs topic. */
 private val OWNER_READ_PAUSE: Duration = 10.milliseconds
 
+/** A read of the newest jobs that was sent at [sentAt]; its outcome tells whether it reached the end of the topic. */
+private data class JobRead(
+    val sentAt: Instant,
+    val outcome: Deferred<Boolean>,
+)
+
 /**
  * Age of what this process knows; `null` if a topic has never been read to its end.
  *
@@ -86,7 +94,7 @@
     private var jobFollower: TopicFollower? = null
 
     @Volatile
-    private var jobRead: Deferred<Boolean>? = null
+    private var jobRead: JobRead? = null
 
     /** Time up to which all jobs have been applied by reads for callers. */
     @Volatile
@@ -116,25 +124,24 @@
         while (true) {
             val view = components.ownership.summary()
             val whole =
-                followsProgress(view, candidate, policy) ||
-                    view?.record != null &&
-                    view.record?.epoch == epochWithoutSummary
+                followsProgress(view, candidate, policy) || lacksSummary(view, epochWithoutSummary)
             logger.info { "node: follows jobs whole=$whole owner=${view?.record}" }
             if (whole) {
-                followRecords { it?.epoch == epochWithoutSummary }
+                followRecords { lacksSummary(it, epochWithoutSummary) }
                 components.ownership.stopFollowing()
             } else {
                 followSummary()
-                epochWithoutSummary = components.ownership
-                    .summary()
-                    ?.record
-                    ?.epoch
+                val owner = components.ownership.summary()?.record
+                epochWithoutSummary = owner?.epoch?.takeIf { !components.ownership.hasSummaryOf(it) }
             }
         }
     }
 
+    private fun lacksSummary(view: OwnershipView?, epochWithoutSummary: Long?): Boolean =
+        epochWithoutSummary != null && view?.record?.epoch == epochWithoutSummary
+
     /** Follows jobs and progress until a stronger owner publishes their summary. */
-    private suspend fun followRecords(lacksSummary: (OwnershipRecord?) -> Boolean) {
+    private suspend fun followRecords(lacksSummary: (OwnershipView?) -> Boolean) {
         components.jobs.followRecords()
         newJobsAsOf = null
         val states = follower(Topic.Progress, { FOLLOWER_READ_PAUSE }) { applyProgressRecords(it) }
@@ -143,7 +150,7 @@
         stateFollower = states
         jobFollower = jobs
         follow(states, jobs) { view ->
-            isOwner() || followsProgress(view, candidate, policy) || lacksSummary(view?.record)
+            isOwner() || followsProgress(view, candidate, policy) || lacksSummary(view)
         }
         jobFollower = null
     }
@@ -179,6 +186,7 @@
 
     private fun applyJobRecords(followed: FollowedRecords) {
         followed.records.forEach { components.jobs.applyJob(it) }
+        if (followed.snapshot) components.jobs.dropJobsWithoutRecord()
         components.jobs.recordPosition(followed.nextOffset, followed.reachedEnd)
         val identifiers =
             followed.records.mapNotNullTo(mutableSetOf()) {
@@ -210,7 +218,8 @@
         val before = ages(clock.now())
         coroutineScope {
             if (!isWithin(before.jobs, FRESH_AGE)) launch { readNewJobs() }
-            if (!isWithin(before.states, FRESH_AGE)) launch { readNewProgress() }
+            val incomplete = !components.jobs.hasBeenComplete()
+            if (incomplete || !isWithin(before.states, FRESH_AGE)) launch { readNewProgress() }
         }
         return ages(clock.now())
     }
@@ -222,22 +231,28 @@
      * Before the table has been complete, the read would begin with the first record of the log and be repeated by each
      * caller, which a narrow link does not carry.
      *
-     * @return whether a read that was sent lately, less than twice [LONGEST_JOB_READ_WAIT] ago, has reached the end of
-     * the topic
+     * @return whether a read that was sent less than [LONGEST_JOB_READ_AGE] ago has reached the end of the topic
      */
     suspend fun readNewJobs(): Boolean {
-        if (!components.jobs.hasBeenComplete()) return false
-        val read = jobRead?.takeIf { it.isActive } ?: scope.async { readJobsOnce() }.also { jobRead = it }
-        return withTimeoutOrNull(LONGEST_JOB_READ_WAIT) { read.await() } ?: false
+        val shared = jobRead?.takeIf { it.outcome.isActive }
+        val read = shared ?: startJobRead() ?: return false
+        // A read over a full link can take seconds; another one beside it would take as long.
+        if (clock.now() - read.sentAt > LONGEST_JOB_READ_WAIT) return false
+        val reachedEnd = withTimeoutOrNull(LONGEST_JOB_READ_WAIT) { read.outcome.await() } ?: false
+        return reachedEnd && clock.now() - read.sentAt < LONGEST_JOB_READ_AGE
     }
 
-    private suspend fun readJobsOnce(): Boolean {
+    private fun startJobRead(): JobRead? {
+        val position = components.jobs.readPosition() ?: return null
         val sentAt = clock.now()
-        val outcome = components.store.read(Topic.Jobs, components.jobs.readTo(), Duration.ZERO)
+        return JobRead(sentAt, scope.async { readJobsOnce(position, sentAt) }).also { jobRead = it }
+    }
+
+    private suspend fun readJobsOnce(position: JobReadPosition, sentAt: Instant): Boolean {
+        val outcome = components.store.read(Topic.Jobs, position.offset, Duration.ZERO)
         if (outcome !is ReadOutcome.Records) return false
-        outcome.records.forEach { components.jobs.applyJob(it) }
+        if (!components.jobs.applyNewJobs(position, outcome.records, outcome.nextOffset)) return false
         val reachedEnd = outcome.nextOffset >= outcome.endOffset
-        components.jobs.recordPosition(outcome.nextOffset, reachedEnd)
         if (reachedEnd) newJobsAsOf = sentAt
         return reachedEnd
     }
--- a/node/src/test/kotlin/dogwoodgrade/node/AnswerAgeTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/AnswerAgeTest.kt
@@ -2,9 +2,12 @@
 
 import dogwoodgrade.platform.standin.StoreFaults
 import kotlinx.coroutines.delay
+import kotlin.concurrent.thread
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertNotEquals
 import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** Runs entry instances whose knowledge of the jobs is missing or old: what they answer, and how they catch up. */
@@ -88,10 +91,41 @@
             assertEquals(0, store.bytesRead(store.secondPort, JOBS_TOPIC))
         }
 
+    /** Guards against states of jobs that an owner forgot but could not remove, which answer queries for ever. */
+    @Test
+    fun `a state whose job is no longer in the log is removed from the summary by a new owner`() =
+        onPlatform(executors = 0, nodes = 0) {
+            store.write(STATES_TOPIC, "state/ended", "Completed queue")
+            store.write(STATES_TOPIC, "state/waiting", "Queued queue")
+            awaitReady(startNode("entry-0", processorCores = 1.5))
+            await("entry-0 owns the fleet") { nodes[0].isOwner() }
+            awaitReady(startNode("entry-1", processorCores = 0.3))
+            for (node in nodes) {
+                await("${node.name} does not know the job") { call(node, "GET", "/queue/ended").first == 410 }
+                await("${node.name} counts no job") { count(node) == 200 to """{"pending":0}""" }
+            }
+        }
+
+    /** Guards against a 410 for a job that was accepted while a read over a full link was under way. */
+    @Test
+    fun `a job accepted after a long read was sent is not unknown when that read ends`() =
+        onPlatform(executors = 0, nodes = 1) {
+            val late = startNode("entry-1", storePort = store.secondPort)
+            awaitReady(late)
+            store.secondPortFaults = StoreFaults(slowTopics = setOf(JOBS_TOPIC))
+            val first = thread { call(late, "GET", "/queue/b") }
+            delay(700.milliseconds)
+            assertEquals(200, call(nodes[0], "POST", "/queue/a", TestPlatform.TWO_STEPS).first)
+            delay(3300.milliseconds)
+            assertNotEquals(410, call(late, "GET", "/queue/a").first)
+            first.join()
+        }
+
     private companion object {
         const val JOBS_TOPIC = "keyed.dogwoodgrade-jobs"
+        const val STATES_TOPIC = "keyed.dogwoodgrade-job-states"
         const val LARGE_PAYLOAD = 3000
         val JOB_TOPICS =
-            setOf(JOBS_TOPIC, "keyed.dogwoodgrade-progress", "keyed.dogwoodgrade-job-states")
+            setOf(JOBS_TOPIC, "keyed.dogwoodgrade-progress", STATES_TOPIC)
     }
 }
--- a/node/src/test/kotlin/dogwoodgrade/node/SummaryTableTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/SummaryTableTest.kt
@@ -1,5 +1,10 @@
 package dogwoodgrade.node
 
+import dogwoodgrade.ownership.Candidate
+import dogwoodgrade.ownership.CandidateDecision
+import dogwoodgrade.ownership.OwnershipPolicy
+import dogwoodgrade.ownership.OwnershipRecord
+import dogwoodgrade.ownership.decideClaim
 import dogwoodgrade.platform.KeyedRecord
 import dogwoodgrade.scheduling.Job
 import dogwoodgrade.scheduling.JobIdentifier
@@ -116,4 +121,57 @@
             assertNull(FleetRecords.decodePosition(text.encodeToByteArray()), text)
         }
     }
+
+    /** Guards against a claim by an instance whose table has no records, since a read for callers came back late. */
+    @Test
+    fun `a read for callers that began before the table changed its source is ignored`() {
+        read(position(5), state("a", JobState.Queued))
+        val position = checkNotNull(table.readPosition())
+        table.followRecords()
+        assertFalse(table.applyNewJobs(position, listOf(jobRecord("b", 5)), 6))
+        assertFalse(table.hasBeenComplete())
+        assertNull(table.readPosition())
+    }
+
+    /** Guards against a job that counts as unknown while the changes made during a snapshot are missing. */
+    @Test
+    fun `a read for callers that began before a snapshot is ignored`() {
+        read(position(5))
+        val position = checkNotNull(table.readPosition())
+        read(position(9), snapshot = true)
+        assertFalse(table.applyNewJobs(position, emptyList(), 7))
+        read()
+        assertFalse(table.applyNewJobs(position, emptyList(), 7))
+        assertTrue(table.applyNewJobs(checkNotNull(table.readPosition()), emptyList(), 12))
+        assertEquals(12, table.readTo())
+    }
+
+    /** Guards against jobs that wait for ever because only the summary of an earlier owner names them. */
+    @Test
+    fun `jobs without a record are unknown once all records have been read`() {
+        read(position(5), state("a", JobState.Queued), state("b", JobState.Queued))
+        table.followRecords()
+        table.applyJob(jobRecord("b"))
+        table.dropJobsWithoutRecord()
+        assertNull(stateOf("a"))
+        assertEquals(JobState.Queued, stateOf("b"))
+    }
+
+    /** Guards against a claim from a living owner whose summary was silent. */
+    @Test
+    fun `a snapshot of the progress is no proof that an owner is silent whose summary was`() {
+        val policy = OwnershipPolicy()
+        val ownership = OwnershipTable(policy)
+        val owner = OwnershipRecord(3, "strong", "1", false, 1.5)
+        val record = KeyedRecord(FleetRecords.OWNER_KEY, FleetRecords.encode(owner), 7)
+        ownership.applySummary(FollowedRecords(listOf(record), snapshot = true, 8, reachedEnd = true), now)
+        ownership.applySummary(FollowedRecords(emptyList(), snapshot = false, 8, reachedEnd = true), now + 3.seconds)
+        ownership.applyRecords(
+            FollowedRecords(listOf(record), snapshot = true, 901, reachedEnd = true),
+            now + 12.seconds,
+        )
+        val view = checkNotNull(ownership.view())
+        val weak = Candidate("weak", "1", 0.36)
+        assertEquals(CandidateDecision.Follow, decideClaim(view, weak, policy, now + 12.seconds))
+    }
 }
