Name completeness and states by what they are, and describe what remains

From the review's list of unclear places: isComplete instead of hasBeenComplete, which became false again; readNewStates instead of readNewProgress, which reads the summary too; keepFollowing; comments on positions, on owners without a summary, and on the two views of the owner. No behaviour changes.

--- a/node/src/main/kotlin/dogwoodgrade/node/CallerHandler.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/CallerHandler.kt
@@ -40,7 +40,7 @@
  *
  * @param readNewJobs adds the records that the log has beyond the job table; returns `false` if it could not read them
  * all
- * @param readNewProgress adds the progress that the log has beyond the job table
+ * @param readNewStates adds the progress that the log has beyond the job table
  * @param refresh reads what is not fresh in the tables, and returns how old they are then
  * @param ages tells how old the tables are at a given time
  */
@@ -51,7 +51,7 @@
     private val clock: NodeClock,
     private val metrics: NodeMetrics,
     private val readNewJobs: suspend () -> Boolean,
-    private val readNewProgress: suspend () -> Unit,
+    private val readNewStates: suspend () -> Unit,
     private val refresh: suspend () -> TableAges,
     private val ages: (Instant) -> TableAges,
 ) {
@@ -147,7 +147,7 @@
         val found = lookUp(identifier)
         val job = found.job ?: return unknown(identifier, found.complete)
         // Callers ask most often when the job has just ended.
-        if (!job.state.ended) readNewProgress()
+        if (!job.state.ended) readNewStates()
         val state = (jobs[identifier] ?: job).state
         val current = ages(clock.now())
         // A state that a job ends with does not change any more.
@@ -179,7 +179,7 @@
         jobs[identifier]?.let { return Lookup(it, complete = true) }
         if (jobs.followsSummary()) {
             // The summary is much shorter than the records of the jobs that it does not name yet.
-            readNewProgress()
+            readNewStates()
             jobs[identifier]?.let { return Lookup(it, complete = true) }
         }
         val complete = readNewJobs()
--- a/node/src/main/kotlin/dogwoodgrade/node/JobTable.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/JobTable.kt
@@ -45,7 +45,10 @@
         }
 }
 
-/** Returns the later of two states of one job, which were read from topics that are not read equally far. */
+/**
+ * Returns the later of two states of one job, which were read from topics that are not read equally far: an end is later
+ * than active, and active is later than queued.
+ */
 private fun laterState(first: JobState, second: JobState): JobState =
     if (second.ended || first == JobState.Queued) second else first
 
@@ -232,13 +235,13 @@
         return true
     }
 
-    /** Returns the offset in the jobs topic up to which the table has all jobs, if it is complete. */
+    /** Returns the offset in the jobs topic before which the table has all jobs; it means nothing before [isComplete]. */
     @Synchronized
     fun readTo(): Long = nextOffset
 
-    /** Tells whether the table has contained all jobs since it is filled from its present source. */
+    /** Tells whether the table has all jobs that were accepted before [readTo]. */
     @Synchronized
-    fun hasBeenComplete(): Boolean = complete
+    fun isComplete(): Boolean = complete
 
     @Synchronized
     operator fun get(identifier: JobIdentifier): KnownJob? = jobs[identifier]?.takeIf { it.queue != null }
--- a/node/src/main/kotlin/dogwoodgrade/node/LogFollowers.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/LogFollowers.kt
@@ -119,7 +119,7 @@
 
     /** Follows jobs and progress, or only the summary of both as long as this instance is weaker than the owner. */
     private suspend fun followJobs() {
-        // An owner without a summary runs an earlier version of this program.
+        // An owner that has never written to the summary runs an earlier version of this program.
         var epochWithoutSummary: Long? = null
         while (true) {
             val view = components.ownership.summary()
@@ -164,13 +164,16 @@
         follow(states) { !followsProgress(it, candidate, policy) }
     }
 
-    /** Runs [followers], of which the first tells of the owner, as long as [goesOn] accepts what is known of it. */
-    private suspend fun follow(vararg followers: TopicFollower, goesOn: (OwnershipView?) -> Boolean) =
+    /**
+     * Runs [followers] as long as [keepFollowing] accepts what is known of the owner. The first of them reads the topic
+     * that the owner writes to.
+     */
+    private suspend fun follow(vararg followers: TopicFollower, keepFollowing: (OwnershipView?) -> Boolean) =
         coroutineScope {
             val reading = followers.map { launch { it.run() } }
             do {
                 followers.first().awaitRead(FOLLOWER_READ_PAUSE)
-            } while (goesOn(components.ownership.summary()))
+            } while (keepFollowing(components.ownership.summary()))
             reading.forEach { it.cancel() }
         }
 
@@ -218,8 +221,8 @@
         val before = ages(clock.now())
         coroutineScope {
             if (!isWithin(before.jobs, FRESH_AGE)) launch { readNewJobs() }
-            val incomplete = !components.jobs.hasBeenComplete()
-            if (incomplete || !isWithin(before.states, FRESH_AGE)) launch { readNewProgress() }
+            val incomplete = !components.jobs.isComplete()
+            if (incomplete || !isWithin(before.states, FRESH_AGE)) launch { readNewStates() }
         }
         return ages(clock.now())
     }
@@ -258,7 +261,7 @@
     }
 
     /** Adds the progress, or its summary, that the log has beyond the job table. */
-    suspend fun readNewProgress() {
+    suspend fun readNewStates() {
         // The owner applies its own appends.
         if (!isOwner()) stateFollower?.catchUp(LONGEST_READ_WAIT)
     }
--- a/node/src/main/kotlin/dogwoodgrade/node/Node.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/Node.kt
@@ -120,7 +120,7 @@
             clock,
             components.metrics,
             { followers.readNewJobs() },
-            { followers.readNewProgress() },
+            { followers.readNewStates() },
             { followers.refresh() },
             { followers.ages(it) },
         )
@@ -138,7 +138,7 @@
         !stopping &&
             components.configuration.current() != null &&
             components.storeAvailability.isAvailable(clock.now()) &&
-            components.jobs.hasBeenComplete()
+            components.jobs.isComplete()
 
     /** Starts the servers and the coroutines that follow the log. */
     suspend fun start() {
@@ -156,7 +156,7 @@
         var ableSince: Instant? = null
         while (!stopping) {
             val view = components.ownership.view()
-            val complete = components.jobs.hasBeenComplete() && components.configuration.current() != null
+            val complete = components.jobs.isComplete() && components.configuration.current() != null
             // All instances become able to claim when the first configuration arrives. Counted from an earlier time,
             // the delays that let the strongest one be first would have passed.
             if (complete && ableSince == null) ableSince = clock.now()
--- a/node/src/main/kotlin/dogwoodgrade/node/OwnershipTable.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnershipTable.kt
@@ -83,7 +83,10 @@
         if (followed.records.isNotEmpty() && ageKnown) signAt = now
     }
 
-    /** Returns what is known of the owner from the progress or its summary, or `null` if neither has been read. */
+    /**
+     * Returns what is known of the owner from the progress or its summary, or `null` if neither has been read. A claim
+     * needs [view].
+     */
     @Synchronized
     fun summary(): OwnershipView? {
         val summarizedAt = summaryReadAt
@@ -91,7 +94,7 @@
         return OwnershipView(record, signAt, maxOf(readAt, summarizedAt ?: readAt), recordSince)
     }
 
-    /** Returns the known ownership, or `null` if the topic is not read. */
+    /** Returns what the progress tells of the owner, or `null` if it is not followed. A claim rests on this. */
     @Synchronized
     fun view(): OwnershipView? =
         if (nextOffset == null) null else OwnershipView(record, progressSignAt, readAt, recordSince)
--- a/node/src/test/kotlin/dogwoodgrade/node/SummaryTableTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/SummaryTableTest.kt
@@ -59,21 +59,21 @@
     @Test
     fun `a snapshot of the summary is complete only with the changes made while it was read`() {
         read(position(5), state("a", JobState.Active), snapshot = true)
-        assertFalse(table.hasBeenComplete())
+        assertFalse(table.isComplete())
         read()
-        assertTrue(table.hasBeenComplete())
+        assertTrue(table.isComplete())
         assertEquals(5, table.readTo())
         read(position(7), snapshot = true)
-        assertFalse(table.hasBeenComplete())
+        assertFalse(table.isComplete())
     }
 
     @Test
     fun `a summary without a position never makes the table complete`() {
         read(state("a", JobState.Active), snapshot = true)
         read(state("b", JobState.Active))
-        assertFalse(table.hasBeenComplete())
+        assertFalse(table.isComplete())
         read(position(0))
-        assertTrue(table.hasBeenComplete())
+        assertTrue(table.isComplete())
     }
 
     @Test
@@ -108,7 +108,7 @@
         table.followSummary()
         assertEquals(JobState.Active, stateOf("a"))
         assertNull(table[JobIdentifier("a")]?.job)
-        assertFalse(table.hasBeenComplete())
+        assertFalse(table.isComplete())
         assertEquals(0, table.readTo())
     }
 
@@ -129,7 +129,7 @@
         val position = checkNotNull(table.readPosition())
         table.followRecords()
         assertFalse(table.applyNewJobs(position, listOf(jobRecord("b", 5)), 6))
-        assertFalse(table.hasBeenComplete())
+        assertFalse(table.isComplete())
         assertNull(table.readPosition())
     }
 
