--- a/node/src/main/kotlin/dogwoodgrade/node/JobTable.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/JobTable.kt
@@ -46,8 +46,8 @@
 }
 
 /**
- * Returns the later of two states of one job, which were read from topics that are not read equally far: an end is later
- * than active, and active is later than queued.
+ * Returns the later of two states of one job, which were read from topics that are not read equally far: an end is
+ * later than active, and active is later than queued.
  */
 private fun laterState(first: JobState, second: JobState): JobState =
     if (second.ended || first == JobState.Queued) second else first
@@ -235,7 +235,7 @@
         return true
     }
 
-    /** Returns the offset in the jobs topic before which the table has all jobs; it means nothing before [isComplete]. */
+    /** Returns the offset in the jobs topic before which the table has all jobs, provided that it [isComplete]. */
     @Synchronized
     fun readTo(): Long = nextOffset
 
