Count replaced runs against the tasks of a step on one executor

Cause: a copy of a speculative task replaces the run on the executor that does not answer. The replaced run may still exist and counts against executor and cap, but not against the step's tasks on that executor, so that a sibling or the copy itself started beside it.

Evidence: SpeculativeCopiesTest "a replaced run that may still exist counts against the tasks of its step on one executor" failed before ([x2] expected, [x1, x2] started).

Change: placement counts the runs that may exist, replaced ones included.

--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Placement.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Placement.kt
@@ -39,7 +39,7 @@
 
 /** Returns the best executor in [allowed] for [task], or `null` if the task fits on none of them. */
 internal fun chooseExecutor(row: StepRow, task: TaskRow, allowed: List<ExecutorRow>): ExecutorRow? {
-    val counts = if (row.step.tasksPerExecutor > 0) activeTasksByExecutor(row) else emptyMap()
+    val counts = if (row.step.tasksPerExecutor > 0) runsByExecutor(row) else emptyMap()
     var best: ExecutorRow? = null
     var bestPenalty = Int.MAX_VALUE
     var bestOrder = Long.MAX_VALUE
@@ -57,9 +57,10 @@
     return best
 }
 
-private fun activeTasksByExecutor(row: StepRow): Map<ExecutorIdentifier, Int> =
+/** Counts the runs of a step that may exist: also those that copies have replaced. */
+private fun runsByExecutor(row: StepRow): Map<ExecutorIdentifier, Int> =
     row.tasks
-        .mapNotNull { it.active?.executor }
+        .flatMap { listOfNotNull(it.active?.executor, it.abandoned?.executor) }
         .groupingBy { it }
         .eachCount()
 
--- a/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SpeculativeCopiesTest.kt
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SpeculativeCopiesTest.kt
@@ -140,4 +140,29 @@
         assertEquals(StartedRun(start.executor, start.run), progress.abandoned[TaskPosition(0, 0, 0)])
         assertTrue(progress.started.getValue(TaskPosition(0, 0, 0)).run > start.run)
     }
+
+    /** Guards against two tasks of a step that allows one per executor, one of them in a run that a copy replaced. */
+    @Test
+    fun `a replaced run that may still exist counts against the tasks of its step on one executor`() {
+        val job = chainJob("j", now, 1)
+        val step = job.steps.single().copy(
+            count = 3,
+            request = Resources(500, 100),
+            tasksPerExecutor = 1,
+            speculative = true,
+        )
+        scheduler.accept(job.copy(steps = listOf(step)), null, now, now)
+        val begun = starts(scheduler)
+        begun.forEach { scheduler.processStartOutcome(it, StartOutcome.Started, now) }
+        val (silent, answering) = begun.sortedBy { it.executor.text }
+        scheduler.recordRequest(silent.executor, now)
+        now += 1.seconds
+        val done = listOf(ListedEnd(1, answering.task, answering.run, RunEnding.Done, ""))
+        list(scheduler, otherExecutor(silent), emptyList(), done)
+        assertEquals(listOf(answering.executor), starts(scheduler).map { it.executor })
+        val existing = ListedRun(silent.task, silent.run, "", 10, 0.0)
+        now += 100.milliseconds
+        list(scheduler, sameExecutor(silent), existing)
+        assertEquals(emptyList(), starts(scheduler).map { it.task }, "the executor that answers again has a run")
+    }
 }
