Reset the job table in one place

Found when reading the whole change: followRecords and followSummary reset the same four fields, one condition was wrapped over four lines, and a parameter's description left out the summary.

Change: one private function resets the table for either source. Behaviour and tests are as before.

--- a/node/src/main/kotlin/dogwoodgrade/node/CallerHandler.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/CallerHandler.kt
@@ -40,7 +40,7 @@
  *
  * @param readNewJobs adds the records that the log has beyond the job table; returns `false` if it could not read them
  * all
- * @param readNewStates adds the progress that the log has beyond the job table
+ * @param readNewStates adds the progress, or its summary, that the log has beyond the job table
  * @param refresh reads what is not fresh in the tables, and returns how old they are then
  * @param ages tells how old the tables are at a given time
  */
@@ -132,10 +132,7 @@
 
     private suspend fun pending(request: JobApiRequest, queue: String): JobApiReply {
         val current = refresh()
-        if (!current.isWithin(
-                LONGEST_COUNT_AGE,
-            )
-        ) {
+        if (!current.isWithin(LONGEST_COUNT_AGE)) {
             return refuse("the jobs are not known lately enough $current", request)
         }
         val count = jobs.pending(queue)
--- a/node/src/main/kotlin/dogwoodgrade/node/JobTable.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/JobTable.kt
@@ -82,8 +82,10 @@
 
     /** Begins to fill the table from the records of the jobs. It is not complete before they have been read. */
     @Synchronized
-    fun followRecords() {
-        fromSummary = false
+    fun followRecords() = fillAnew(fromSummary = false)
+
+    private fun fillAnew(fromSummary: Boolean) {
+        this.fromSummary = fromSummary
         generation++
         complete = false
         nextOffset = 0
@@ -93,11 +95,7 @@
     /** Begins to fill the table from the summary of the jobs, and drops the records that it has. */
     @Synchronized
     fun followSummary() {
-        fromSummary = true
-        generation++
-        complete = false
-        nextOffset = 0
-        positionKnown = false
+        fillAnew(fromSummary = true)
         jobs.entries.removeIf { it.value.queue == null }
         jobs.replaceAll { _, known -> summaryOf(known) }
     }
