--- a/review/stand-ins/Case.java
+++ b/review/stand-ins/Case.java
@@ -18,6 +18,7 @@
             case "hopeless-job" -> new HopelessJob();
             case "many-ends" -> new ManyEnds();
             case "quiet-restart" -> new QuietRestart();
+            case "cancelled-elsewhere" -> new CancelledElsewhere();
             default -> throw new IllegalArgumentException(arguments[0]);
         };
         int status;
--- a/review/stand-ins/Fleet.java
+++ b/review/stand-ins/Fleet.java
@@ -223,7 +223,7 @@
 
     /** Hands a job of one step in, at any node and again after no answer, until it is accepted. */
     void submit(String prefix, String job, String spec, Map<String, Object> step) throws InterruptedException {
-        requests.put(job, new long[] {Json.number(step, "cpu", 0), Json.number(step, "mem-mb", 0)});
+        declare(job, step);
         String body = Json.write(Json.of("spec", spec, "steps", List.of(step)));
         for (int attempt = 0; attempt < 10; attempt++) {
             Node node = nodes.get(attempt % nodes.size());
@@ -233,6 +233,11 @@
         throw new CannotRun("job " + job + " was not accepted");
     }
 
+    /** Tells the executors what each task of a job takes. */
+    void declare(String job, Map<String, Object> step) {
+        requests.put(job, new long[] {Json.number(step, "cpu", 0), Json.number(step, "mem-mb", 0)});
+    }
+
     /** Returns the state of a job as the first node shows it that answers, or the status. */
     String state(String prefix, String job) {
         String last = "";
--- a/review/stand-ins/Store.java
+++ b/review/stand-ins/Store.java
@@ -26,6 +26,9 @@
     static final int MAX_RECORD_BYTES = 262_144;
     static final int MAX_CALL_BYTES = 2_097_152;
     private static final long APPEND_MS = 4;
+
+    /** Time of an answer to a read of a store that is not slow; it is left out then. */
+    private static final long READ_MS = 4;
     private static final long PARTITION_BYTES_PER_MS = 20_000;
     private static final int PAGE_ITEMS = 500;
     private static final int PAGE_BYTES = 1_000_000;
@@ -235,7 +238,6 @@
     private void logRead(HttpExchange call, Map<String, String> query) throws IOException, InterruptedException {
         int from = Integer.parseInt(query.getOrDefault("from", "0"));
         long end = System.nanoTime() + Long.parseLong(query.getOrDefault("wait-ms", "0")) * 1_000_000;
-        Thread.sleep((long) (slowness > 1 ? 1 * slowness : 0));
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         synchronized (this) {
             Topic topic = topic(query.get("topic"));
@@ -253,13 +255,18 @@
                 out.write(content);
             }
         }
+        answerSlowly();
         // A store that goes down answers no call that waits.
         if (busy) Http.answer(call, 503, new byte[0]);
         else Http.answer(call, 200, bytes.toByteArray());
     }
 
+    /** Delays the answer of a slow store. */
+    private void answerSlowly() throws InterruptedException {
+        if (slowness > 1) Thread.sleep((long) (READ_MS * slowness));
+    }
+
     private void logNewest(HttpExchange call, Map<String, String> query) throws IOException, InterruptedException {
-        Thread.sleep((long) (slowness > 1 ? 1 * slowness : 0));
         List<Object> items = new ArrayList<>();
         boolean more = false;
         long end;
@@ -278,6 +285,7 @@
                 items.add(Json.of("key", entry.getKey(), "value", value, "offset", entry.getValue().offset));
             }
         }
+        answerSlowly();
         String body = Json.write(Json.of("items", items, "has-more", more, "end-offset", end));
         Http.answer(call, 200, body.getBytes(StandardCharsets.UTF_8));
     }
