--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 exec timeout -k 5 115 java -Xmx512m -Dsun.net.httpserver.nodelay=true -Djdk.httpclient.allowRestrictedHeaders=host \
-    -cp target/review Case removed-queue . review/4/record.txt
+    -cp target/review Case many-ends . review/4/record.txt
--- a/review/stand-ins/CancelledElsewhere.java
+++ b/review/stand-ins/CancelledElsewhere.java
@@ -15,36 +15,44 @@
     private static final double CONTACT_S = 3;
     private static final double SLOW_S = 4.5;
     private static final double SLOWNESS = 60;
-    private static final Map<String, Object> FIRST = Map.of("count", 1, "cpu", 500, "mem-mb", 500, "estimate-ms", 12000);
+    private static final int ROUNDS = 3;
+
+    /** Time that the first step works; the second one starts when the store has been sound for some time. */
+    private static final long FIRST_MS = 30_000;
+    private static final Map<String, Object> FIRST = Map.of("count", 1, "cpu", 500, "mem-mb", 500, "estimate-ms", 30000);
     private static final Map<String, Object> SECOND =
-        Map.of("count", 1, "cpu", 500, "mem-mb", 500, "estimate-ms", 12000, "depends-on", List.of(0));
+        Map.of("count", 1, "cpu", 500, "mem-mb", 500, "estimate-ms", 30000, "depends-on", List.of(0));
 
     @Override
     public String run(Fleet fleet, boolean trouble) throws Exception {
         fleet.configure(new Fleet.Queue("proofs", "/proofs/", 4));
         fleet.startNodes(3);
         Thread.sleep(2_000);
-        if (trouble) {
-            fleet.store.slowness = SLOWNESS;
-            fleet.record.event("store", "slow");
-        }
-        double end = fleet.record.time() + SLOW_S;
         // Time and status of the answer to the cancelling of each accepted job.
         Map<String, Object[]> cancelled = new ConcurrentHashMap<>();
-        List<Thread> clients = new ArrayList<>();
-        for (int i = 0; i < CLIENTS; i++) {
-            int number = i;
-            Thread client = Threads.daemon(() -> {
-                for (int j = 0; fleet.record.time() < end; j++) use(fleet, number, j, cancelled);
-            });
-            client.start();
-            clients.add(client);
+        for (int round = 0; round < ROUNDS; round++) {
+            if (trouble) {
+                fleet.store.slowness = SLOWNESS;
+                fleet.record.event("store", "slow");
+            }
+            double end = fleet.record.time() + SLOW_S;
+            List<Thread> clients = new ArrayList<>();
+            for (int i = 0; i < CLIENTS; i++) {
+                int number = round * CLIENTS + i;
+                Thread client = Threads.daemon(() -> {
+                    for (int j = 0; fleet.record.time() < end - 0.5; j++) use(fleet, number, j, cancelled);
+                });
+                client.start();
+                clients.add(client);
+            }
+            Thread.sleep(Math.max(0, (long) ((end - fleet.record.time()) * 1000)));
+            fleet.store.slowness = 1;
+            fleet.record.event("store", "sound, " + cancelled.size() + " jobs cancelled");
+            for (Thread client : clients) client.join();
+            Thread.sleep(4_000);
         }
-        for (Thread client : clients) client.join();
-        fleet.store.slowness = 1;
-        double soundAt = fleet.record.time();
-        fleet.record.event("store", "sound, " + cancelled.size() + " jobs cancelled");
-        Thread.sleep(20_000);
+        double soundAt = fleet.record.time() - 4;
+        Thread.sleep(FIRST_MS + 4_000);
         int broken = 0;
         String example = "";
         for (Map.Entry<String, Object[]> entry : cancelled.entrySet()) {
@@ -63,7 +71,7 @@
     private static void use(Fleet fleet, int client, int number, Map<String, Object[]> cancelled) {
         String job = String.format("%016x", 0xc1000000L + client * 0x10000 + number);
         fleet.declare(job, FIRST);
-        String body = Json.write(Json.of("spec", "work=12000", "steps", List.of(FIRST, SECOND)));
+        String body = Json.write(Json.of("spec", "work=" + FIRST_MS, "steps", List.of(FIRST, SECOND)));
         if ((int) fleet.call(fleet.nodes.get(0), "POST", "/proofs/" + job, body)[0] != 200) return;
         if (client % 2 == 0) {
             fleet.call(fleet.nodes.get(1), "GET", "/proofs/" + job, null);
--- a/review/stand-ins/Fleet.java
+++ b/review/stand-ins/Fleet.java
@@ -224,7 +224,11 @@
     /** Hands a job of one step in, at any node and again after no answer, until it is accepted. */
     void submit(String prefix, String job, String spec, Map<String, Object> step) throws InterruptedException {
         declare(job, step);
-        String body = Json.write(Json.of("spec", spec, "steps", List.of(step)));
+        submit(prefix, job, Json.write(Json.of("spec", spec, "steps", List.of(step))));
+    }
+
+    /** Hands a job in with this body. */
+    void submit(String prefix, String job, String body) throws InterruptedException {
         for (int attempt = 0; attempt < 10; attempt++) {
             Node node = nodes.get(attempt % nodes.size());
             if (node.process.isAlive() && (int) call(node, "POST", prefix + job, body)[0] == 200) return;
--- a/review/stand-ins/ManyEnds.java
+++ b/review/stand-ins/ManyEnds.java
@@ -48,6 +48,9 @@
         for (List<Run> runs : byTask.values()) {
             for (Run first : runs) {
                 if (!"done".equals(first.how) || Double.isNaN(first.notedAt)) continue;
+                // An end does not count as taken note of if the lease lapsed between the two.
+                Worker worker = fleet.workers.stream().filter(w -> w.id.equals(first.executor)).findFirst().orElseThrow();
+                if (worker.lapsedBetween(first.endedAt, first.notedAt)) continue;
                 for (Run second : runs) {
                     if (second.startedAt <= first.endedAt) continue;
                     broken++;
--- a/review/stand-ins/Worker.java
+++ b/review/stand-ins/Worker.java
@@ -5,6 +5,7 @@
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -60,6 +61,10 @@
     private final Map<String, Long> highestEnded = new HashMap<>();
     private final Map<String, long[]> requests;
 
+    /** Times at which the lease of this executor ended. */
+    private final List<Double> lapses = Collections.synchronizedList(new ArrayList<>());
+    private boolean lapsed;
+
     /**
      * @param requests processor and memory that a task of each job takes
      * @param allRuns every run of all executors, for the judge
@@ -116,12 +121,19 @@
         record.event(id, "crashes");
     }
 
+    /** Returns whether the lease ended between two times. */
+    boolean lapsedBetween(double from, double to) {
+        synchronized (lapses) {
+            return lapses.stream().anyMatch(time -> time >= from && time <= to);
+        }
+    }
+
     synchronized boolean isUp() {
         return server != null;
     }
 
-    synchronized int runCount() {
-        return running.size();
+    synchronized long usedCpu() {
+        return usedCpu;
     }
 
     private synchronized void heartbeat() {
@@ -139,7 +151,9 @@
     }
 
     private synchronized void expireLease() {
-        if (server == null || running.isEmpty() || clock() <= leaseEnd) return;
+        if (server == null || clock() <= leaseEnd) return;
+        if (!lapsed && leaseEnd > 0) lapses.add(record.time());
+        lapsed = true;
         for (Run run : List.copyOf(running.values())) list(run, "lapsed");
     }
 
@@ -181,6 +195,7 @@
     private void extendLease(Map<String, Object> body) {
         long deadline = Json.number(body, "deadline-ms", 0);
         leaseEnd = Math.max(leaseEnd, Math.min(deadline, clock() + MAX_HOLD_MS));
+        if (clock() <= leaseEnd) lapsed = false;
     }
 
     private Object[] runStart(Map<String, Object> body) {
@@ -200,7 +215,7 @@
         synchronized (allRuns) {
             allRuns.add(run);
         }
-        record.event(id, "starts task " + task + " run " + number + " for token " + fencingToken);
+        record.run(run.job(), id, "starts task " + task + " run " + number + " for token " + fencingToken);
         long life = born;
         TIMER.schedule(() -> finish(run, life), run.work(), TimeUnit.MILLISECONDS);
         return answer(200, null);
@@ -242,7 +257,7 @@
     private void end(Run run, String how) {
         run.endedAt = record.time();
         run.how = how;
-        record.event(id, "ends task " + run.task + " run " + run.number + " " + how);
+        record.run(run.job(), id, "ends task " + run.task + " run " + run.number + " " + how);
     }
 
     private Object[] hold(Map<String, Object> body) throws InterruptedException {
