--- a/review/stand-ins/Fleet.java
+++ b/review/stand-ins/Fleet.java
@@ -1,5 +1,7 @@
 import java.io.File;
 import java.io.IOException;
+import java.net.BindException;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -15,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
@@ -107,10 +110,18 @@
         await("all nodes are ready", 40, () -> nodes.stream().allMatch(this::isReady));
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
+    /** Returns a free port below those that the system gives to outgoing connections. */
+    static int freePort() throws IOException {
+        for (int attempt = 0; attempt < 100; attempt++) {
+            int port = ThreadLocalRandom.current().nextInt(12_000, 32_000);
+            try (ServerSocket socket = new ServerSocket()) {
+                socket.bind(new InetSocketAddress("127.0.0.1", port));
+                return port;
+            } catch (BindException taken) {
+                // Another port is tried.
+            }
         }
+        throw new CannotRun("no free port");
     }
 
     /** Starts the process of a node with the command of the deploy file. */
--- a/review/stand-ins/Worker.java
+++ b/review/stand-ins/Worker.java
@@ -2,7 +2,6 @@
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -79,9 +78,7 @@
         this.record = record;
         this.requests = requests;
         this.allRuns = allRuns;
-        try (ServerSocket socket = new ServerSocket(0)) {
-            port = socket.getLocalPort();
-        }
+        port = Fleet.freePort();
         TIMER.scheduleAtFixedRate(this::expireLease, 50, 50, TimeUnit.MILLISECONDS);
         TIMER.scheduleAtFixedRate(this::heartbeat, HEARTBEAT_MS, HEARTBEAT_MS, TimeUnit.MILLISECONDS);
     }
