Decide by incarnation which runs a restarted executor has

Cause: orders name the identifier, which both incarnations share, and their deadline refers to a clock that has started anew, so the new incarnation executes them. The owner ignored the incarnation in the answer, and took the later discovery of the restart for the end of every run there. The same cause lay in starts without an answer, which a new incarnation executes late; in takeovers before the discovery (inherited runs were dropped); in grants of requests meant for the earlier clock, which were not counted; in a second restart during the append that recorded the first; in capacity and labels of the earlier incarnation; and in the answer of an address left by the executor.

Change: a run keeps the incarnation that confirmed it, and a restart ends only those of earlier ones.

--- a/measure/src/main/kotlin/dogwoodgrade/measure/SchedulerSimulation.kt
+++ b/measure/src/main/kotlin/dogwoodgrade/measure/SchedulerSimulation.kt
@@ -198,7 +198,7 @@
         val executor = executors.getValue(order.executor)
         executor.runs += Run(order, now + 640.milliseconds * random.nextDouble(0.5, 1.5))
         if (measured) starts++
-        time(startOutcomes, measured) { scheduler.processStartOutcome(order, StartOutcome.Started, now) }
+        time(startOutcomes, measured) { scheduler.processStartOutcome(order, StartOutcome.Started(), now) }
     }
 
     private fun list(executor: SimulatedExecutor, measured: Boolean) {
--- a/node/src/main/kotlin/dogwoodgrade/node/ExecutorWatcher.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/ExecutorWatcher.kt
@@ -20,6 +20,9 @@
  */
 private val LISTING_WAIT: Duration = 700.milliseconds
 
+/** Time for which an executor waits while starts have to be ruled out that an earlier incarnation did not answer. */
+private val LISTING_WAIT_FOR_STOPS: Duration = 100.milliseconds
+
 /** Longest pause between two listings of an executor on which nothing runs. */
 private val IDLE_LISTING_PAUSE: Duration = 4.seconds
 
@@ -61,15 +64,7 @@
             val request =
                 fleet.withSchedule { it.grantRequest(identifier, grant, ownership.grantsUntil(), sentAt) } ?: return
             fleet.withSchedule { it.recordRequest(identifier, sentAt) }
-            val wait = if (request.busy &&
-                !request.awaitsDurability &&
-                request.deadline != null
-            ) {
-                LISTING_WAIT
-            } else {
-                Duration.ZERO
-            }
-            val outcome = client.list(request.report, request.deadline, request.durableEnd, wait, epoch)
+            val outcome = client.list(request.report, request.deadline, request.durableEnd, waitOf(request), epoch)
             val now = clock.now()
             when (outcome) {
                 is ListingOutcome.Listed -> {
@@ -86,9 +81,9 @@
                     logger.info {
                         "executor: address taken over executor=$identifier address=${request.report.address}"
                     }
-                    fleet.withSchedule { it.removeExecutor(identifier, now) }
+                    fleet.withSchedule { it.recordReplacedExecutor(request.report, now) }
                     onChange()
-                    return
+                    delay(LISTING_RETRY_PAUSE)
                 }
                 is ListingOutcome.Failed -> {
                     logger.info { "executor: no answer executor=$identifier reason=${outcome.reason}" }
@@ -100,6 +95,15 @@
         }
     }
 
+    /** Returns how long the executor may wait for the end of a run before it answers [request]. */
+    private fun waitOf(request: GrantRequest): Duration =
+        when {
+            !request.busy || request.awaitsDurability || request.deadline == null -> Duration.ZERO
+            // No end announces that a run does not exist.
+            request.awaitsStops -> LISTING_WAIT_FOR_STOPS
+            else -> LISTING_WAIT
+        }
+
     private suspend fun pauseAfter(request: GrantRequest) {
         val next = currentRequest() ?: return
         when {
--- a/node/src/main/kotlin/dogwoodgrade/node/OrderWorkers.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OrderWorkers.kt
@@ -6,6 +6,7 @@
 import dogwoodgrade.scheduling.Order
 import dogwoodgrade.scheduling.StartOutcome
 import dogwoodgrade.scheduling.StartRejection
+import dogwoodgrade.scheduling.StopOutcome
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
@@ -80,12 +81,14 @@
                 recordOutcome(order, outcome)
             }
             is Order.Stop -> {
-                val answered = client.stop(executor, order, epoch)
-                metrics.ordered("stop", if (answered) "done" else "failed")
+                val outcome = client.stop(executor, order, epoch)
+                val accepted = outcome is StopOutcome.Accepted
+                metrics.ordered("stop", if (accepted) "done" else "failed")
                 logger.info {
                     "orders: stop task=${order.task.text} run=${order.run} executor=${order.executor} " +
-                        "reason=${order.reason} answered=$answered"
+                        "reason=${order.reason} answered=$accepted"
                 }
+                fleet.withSchedule { it.processStopOutcome(order, executor, outcome, clock.now()) }
                 onChange(order.executor)
             }
             is Order.Pace -> {
@@ -99,19 +102,28 @@
     private fun recordOutcome(order: Order.Start, outcome: StartOutcome) {
         val text =
             when (outcome) {
-                StartOutcome.Started -> "started"
+                is StartOutcome.Started -> "started"
                 is StartOutcome.Rejected -> outcome.reason.name
                 StartOutcome.Unknown -> "unknown"
             }
         metrics.ordered("start", text)
         logger.info {
-            "orders: start task=${order.task.text} run=${order.run} executor=${order.executor} outcome=$text"
+            "orders: start task=${order.task.text} run=${order.run} executor=${order.executor} outcome=$text " +
+                "incarnation=${incarnationOf(outcome)}"
         }
         fleet.withSchedule { it.processStartOutcome(order, outcome, clock.now()) }
         onChange(order.executor)
     }
 }
 
+/** Returns the incarnation that answered a start, or `null` if it is not known. */
+private fun incarnationOf(outcome: StartOutcome): Long? =
+    when (outcome) {
+        is StartOutcome.Started -> outcome.incarnation
+        is StartOutcome.Rejected -> outcome.incarnation
+        StartOutcome.Unknown -> null
+    }
+
 /** An order with the executor that it goes to, and the time at which it was queued. */
 private data class QueuedOrder(
     val executor: ExecutorReport,
--- a/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
@@ -69,7 +69,14 @@
     private val clock = node.clock
     private var lastRunNumber = record.epoch * RUNS_PER_EPOCH
     private val fleet =
-        FleetTable(Scheduler(node.scheduling.copy(restorationTime = settings.restorationTime)) { ++lastRunNumber })
+        FleetTable(
+            Scheduler(
+                node.scheduling.copy(
+                    restorationTime = settings.restorationTime,
+                    longestGrant = settings.longestGrant,
+                ),
+            ) { ++lastRunNumber },
+        )
     private val forgotten = Channel<List<JobIdentifier>>(Channel.UNLIMITED)
     private val planSignal = Channel<Unit>(Channel.CONFLATED)
     private val watchers = ConcurrentHashMap<ExecutorIdentifier, ExecutorWatcher>()
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/DurableChanges.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/DurableChanges.kt
@@ -59,7 +59,11 @@
     /** Records that [batch] is durable. */
     fun confirm(batch: ProgressBatch) {
         startsInBatch = 0
-        batch.executors.forEach { tables.executors[it.identifier]?.recorded = true }
+        for (report in batch.executors) {
+            val row = tables.executors[report.identifier] ?: continue
+            // It may have restarted since; a new owner has to know this incarnation.
+            if (row.report.incarnation == report.incarnation) row.recorded = true
+        }
         for ((identifier, number) in batch.ends) {
             val row = tables.executors[identifier] ?: continue
             if (row.report.incarnation == batch.incarnations[identifier]) row.durableEnd = maxOf(row.durableEnd, number)
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Executor.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Executor.kt
@@ -71,18 +71,39 @@
     public val ended: List<ListedEnd>,
 )
 
-/** Outcome of an order to start a run. */
+/**
+ * Outcome of an order to start a run.
+ *
+ * The incarnations are those that answered, or `null` if the response does not name one. They may be later or earlier
+ * than the one that the order was meant for.
+ */
 public sealed interface StartOutcome {
-    /** The run exists. */
-    public data object Started : StartOutcome
+    /** The run exists, or existed until a restart of the executor. */
+    public data class Started(public val incarnation: Long? = null) : StartOutcome
 
     /** The executor has not executed this order and never will. */
-    public data class Rejected(public val reason: StartRejection) : StartOutcome
+    public data class Rejected(
+        public val reason: StartRejection,
+        public val incarnation: Long? = null,
+    ) : StartOutcome
 
     /** There was no response; the order may have been executed, or may still be until its deadline. */
     public data object Unknown : StartOutcome
 }
 
+/** Outcome of an order to stop a run. */
+public sealed interface StopOutcome {
+    /**
+     * The executor has accepted the order: the run ends, or can no longer start in this incarnation.
+     *
+     * @property incarnation incarnation that answered, or `null` if the response does not name it
+     */
+    public data class Accepted(public val incarnation: Long? = null) : StopOutcome
+
+    /** There was no response, or the executor rejected the order. */
+    public data object Failed : StopOutcome
+}
+
 /** Reason for which an executor rejected a start order. */
 public enum class StartRejection {
     /** The order comes from an owner that a newer one has replaced. */
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ExecutorRow.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ExecutorRow.kt
@@ -26,6 +26,12 @@
     var clock: Duration? = null
     var clockReadAt: Instant = Instant.DISTANT_PAST
     var grantedUntil: Duration = Duration.ZERO
+
+    /** Time until which grants may last whose deadline refers to the clock of an earlier incarnation. */
+    var staleGrantsUntil: Instant = Instant.DISTANT_PAST
+
+    /** Whether [report] describes this incarnation; a restarted executor may be of a different kind. */
+    var described: Boolean = true
     var listedAt: Instant? = null
 
     /** Time at which the oldest unanswered request was sent, or `null` if all are answered. */
@@ -52,6 +58,10 @@
     val mayHoldRuns: Boolean
         get() = runs.isNotEmpty() || abandoned.isNotEmpty()
 
+    /** Whether a start that was ordered from an earlier incarnation has to be ruled out by a stop and a listing. */
+    val hasStaleOrders: Boolean
+        get() = runs.values.any { it.isStaleOrder(report.incarnation) }
+
     val free: Resources
         get() = report.capacity - used
 
@@ -80,6 +90,7 @@
             !retiring &&
             reachable &&
             recorded &&
+            described &&
             listedAt != null &&
             avoidUntil <= now
 }
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetTables.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetTables.kt
@@ -44,6 +44,7 @@
         val row = executorRows.getOrPut(report.identifier) { ExecutorRow(report) }
         if (row.report.pool != report.pool) executorsByPool[row.report.pool]?.remove(row)
         row.report = report
+        row.described = true
         executorsByPool.getOrPut(report.pool) { linkedSetOf() } += row
         return row
     }
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobRows.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobRows.kt
@@ -17,8 +17,13 @@
 /**
  * A run that exists or may exist on an executor.
  *
- * @property startDeadline time on the executor's clock after which an unanswered start can no longer be executed
+ * @property startDeadline time on the clock of [orderedFrom] after which an unanswered start can no longer be executed
+ * @property orderedFrom incarnation of the executor that the start was meant for, or `null` if this owner has not
+ * ordered it
+ * @property inTransit whether the start has been sent and its call has not ended, so that it may still reach an executor
  * @property confirmedAt time at which the executor confirmed the run, or `null` while the start is unanswered
+ * @property confirmedBy incarnation that confirmed the run, or `null` if it is not known
+ * @property stopAcceptance answer to a stop of the run, or `null` if there is none
  * @property percent last reported progress, or -1 before the first report
  * @property percentSince time at which [percent] last changed
  * @property measurement last reported value of [ListedRun.measurement]
@@ -30,7 +35,11 @@
     val startedAt: Instant,
     var startDeadline: Duration,
     var phase: RunPhase,
+    var orderedFrom: Long? = null,
+    var inTransit: Boolean = false,
     var confirmedAt: Instant? = null,
+    var confirmedBy: Long? = null,
+    var stopAcceptance: StopAcceptance? = null,
     var stopSentAt: Instant? = null,
     var stopReason: StopReason? = null,
     var checkpoint: String = "",
@@ -39,6 +48,22 @@
     var measurement: Double = 0.0,
     var pace: Int = 100,
     var paceSentAt: Instant? = null,
+) {
+    /**
+     * Returns whether the start is unanswered and was meant for an earlier incarnation than [incarnation], which may
+     * still execute it: its deadline refers to another clock.
+     */
+    fun isStaleOrder(incarnation: Long): Boolean =
+        confirmedAt == null && orderedFrom.let { it != null && it != incarnation }
+
+    /** Returns whether the run existed in an earlier incarnation than [incarnation], with which it ended. */
+    fun endedBefore(incarnation: Long): Boolean = confirmedBy.let { it != null && it < incarnation }
+}
+
+/** The acceptance of a stop by an [incarnation] of an executor, which rejects every later start of the run. */
+internal data class StopAcceptance(
+    val incarnation: Long,
+    val acceptedAt: Instant,
 )
 
 /** A task with its execution state. */
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ListingProcessor.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ListingProcessor.kt
@@ -7,7 +7,11 @@
  * Updates the known runs from the listings of executors.
  *
  * A run that is missing from a listing is known not to exist only if the request was sent after the executor had
- * confirmed the run, or if the deadline of its unanswered start has passed on the executor's clock.
+ * confirmed the run, if the deadline of its unanswered start has passed on the executor's clock, or if the executor had
+ * accepted a stop of the run before.
+ *
+ * A restart ends the runs that an earlier incarnation has confirmed. Any other run may exist in the new incarnation:
+ * orders name the executor only, so that the new incarnation executes those that were meant for the earlier one.
  */
 internal class ListingProcessor(
     private val tables: FleetTables,
@@ -16,10 +20,8 @@
 ) {
     fun process(executor: ExecutorRow, listing: ExecutorListing, requestedAt: Instant, now: Instant) {
         executor.unansweredSince = null
-        if (listing.incarnation != executor.report.incarnation) {
-            if (listing.incarnation > executor.report.incarnation) restart(executor, listing.incarnation, now)
-            return
-        }
+        if (listing.incarnation < executor.report.incarnation) return
+        if (listing.incarnation > executor.report.incarnation) restart(executor, listing.incarnation, now)
         executor.clock = listing.clock
         executor.clockReadAt = now
         executor.reachable = true
@@ -31,6 +33,16 @@
         val absenceCheck = AbsenceCheck(listing, requestedAt)
         requeueMissingRuns(executor, absenceCheck, now)
         dropEndedAbandonedRuns(executor, absenceCheck)
+        stopStaleOrders(executor)
+    }
+
+    /** Stops unanswered starts that were ordered from an earlier incarnation, so that they are never executed. */
+    private fun stopStaleOrders(executor: ExecutorRow) {
+        for ((name, run) in executor.runs) {
+            if (run.isStaleOrder(executor.report.incarnation)) {
+                tables.pendingStops.putIfAbsent(name, StopReason.StaleOrder)
+            }
+        }
     }
 
     /** Removes abandoned runs that no longer exist. Those that are listed were adopted or are being stopped. */
@@ -40,16 +52,24 @@
         }
     }
 
-    /** Processes a restart of the executor: its earlier runs no longer exist and are not listed as ended. */
+    /** Processes a restart of the executor: the runs of its earlier incarnations have ended and are not listed. */
     fun restart(executor: ExecutorRow, incarnation: Long, now: Instant) {
         tables.events += SchedulerEvent(null, executor.identifier, "restarted incarnation=$incarnation")
-        requeueLostRuns(executor, now)
+        for ((name, run) in executor.runs.toList()) {
+            if (run.phase == RunPhase.Planned || run.endedBefore(incarnation)) requeueLostRun(executor, name, run, now)
+        }
+        for ((name, abandoned) in executor.abandoned.toList()) {
+            if (abandoned.run.phase != RunPhase.Inherited) tables.dropAbandoned(executor, name)
+        }
         executor.report = executor.report.copy(incarnation = incarnation)
-        // A new owner that knew only the earlier incarnation would treat runs of this one as lost.
+        executor.described = false
+        // A new owner that knew only the earlier incarnation would have to prove anew which runs exist.
         executor.recorded = false
         executor.clock = null
         executor.listedAt = null
         executor.grantedUntil = Duration.ZERO
+        executor.staleGrantsUntil =
+            now + (policy.longestOrderDelay + policy.longestGrant) / (1.0 - policy.maximumClockDrift)
         executor.processedEnd = 0
         executor.durableEnd = 0
         executor.failuresInRow = 0
@@ -58,21 +78,20 @@
 
     /** Requeues every task that had a run on [executor], on which no run exists any more. */
     fun requeueLostRuns(executor: ExecutorRow, now: Instant) {
-        for ((name, run) in executor.runs.toList()) {
-            val task = tables.task(name) ?: continue
-            if (run.checkpoint.isNotEmpty()) task.checkpoint = run.checkpoint
-            val text = "run lost task=${name.text} run=${run.run}"
-            tables.events += SchedulerEvent(name.job, executor.identifier, text)
-            tables.release(task)
-            tables.requeue(task, now, now)
-        }
+        for ((name, run) in executor.runs.toList()) requeueLostRun(executor, name, run, now)
         executor.abandoned.keys
             .toList()
             .forEach { tables.dropAbandoned(executor, it) }
-        executor.runs.clear()
-        executor.used = Resources.None
-        executor.longRuns = 0
-        executor.spareRuns = 0
+    }
+
+    /** Requeues the task of [run], which has ended without a listed end. */
+    fun requeueLostRun(executor: ExecutorRow, name: TaskName, run: ActiveRun, now: Instant) {
+        val task = tables.task(name) ?: return
+        if (run.checkpoint.isNotEmpty()) task.checkpoint = run.checkpoint
+        val text = "run lost task=${name.text} run=${run.run}"
+        tables.events += SchedulerEvent(name.job, executor.identifier, text)
+        tables.release(task)
+        tables.requeue(task, now, now)
     }
 
     private fun processEnd(executor: ExecutorRow, end: ListedEnd, now: Instant) {
@@ -162,7 +181,8 @@
                 tables.dropAbandoned(executor, task.name)
                 adopt(executor, task, listedRun, now)
             }
-            active.executor == executor.identifier && active.run == listedRun.run -> update(active, listedRun, now)
+            active.executor == executor.identifier && active.run == listedRun.run ->
+                update(executor, active, listedRun, now)
             active.executor == executor.identifier && active.run < listedRun.run -> {
                 tables.release(task)
                 adopt(executor, task, listedRun, now)
@@ -175,17 +195,18 @@
         task.phase != TaskPhase.Done && (!row.ended || task.active != null)
 
     private fun adopt(executor: ExecutorRow, task: TaskRow, listedRun: ListedRun, now: Instant) {
-        val run = ActiveRun(executor.identifier, listedRun.run, now, Duration.ZERO, RunPhase.Running, confirmedAt = now)
+        val run = ActiveRun(executor.identifier, listedRun.run, now, Duration.ZERO, RunPhase.Running)
         tables.activate(task, run)
-        update(run, listedRun, now)
+        update(executor, run, listedRun, now)
         tables.events +=
             SchedulerEvent(task.name.job, executor.identifier, "adopted task=${task.name.text} run=${listedRun.run}")
     }
 
-    private fun update(active: ActiveRun, listedRun: ListedRun, now: Instant) {
+    private fun update(executor: ExecutorRow, active: ActiveRun, listedRun: ListedRun, now: Instant) {
         tables.markBegun(listedRun.task.job)
         if (active.phase != RunPhase.Stopping) active.phase = RunPhase.Running
         if (active.confirmedAt == null) active.confirmedAt = now
+        active.confirmedBy = executor.report.incarnation
         if (listedRun.checkpoint.isNotEmpty()) active.checkpoint = listedRun.checkpoint
         if (listedRun.percent != active.percent) {
             active.percent = listedRun.percent
@@ -242,9 +263,15 @@
             run.phase == RunPhase.Planned -> false
             run.phase == RunPhase.Inherited -> true
             confirmedAt != null -> requestedAt > confirmedAt
+            run.isStaleOrder(listing.incarnation) -> isStopped(run)
             else -> listing.clock > run.startDeadline
         }
     }
+
+    private fun isStopped(run: ActiveRun): Boolean {
+        val acceptance = run.stopAcceptance ?: return false
+        return !run.inTransit && acceptance.incarnation == listing.incarnation && requestedAt > acceptance.acceptedAt
+    }
 }
 
 private data class UnexpectedRun(
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Order.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Order.kt
@@ -48,4 +48,4 @@
 }
 
 /** Reason for which a run is stopped. */
-public enum class StopReason { Cancelled, JobEnded, Duplicate, Unknown, Preempted, Moved, Stalled, GangRestart }
+public enum class StopReason { Cancelled, JobEnded, Duplicate, Unknown, Preempted, Moved, Stalled, GangRestart, StaleOrder }
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
@@ -24,6 +24,7 @@
     private val tables = FleetTables()
     private val transitions = JobTransitions(tables, policy)
     private val listings = ListingProcessor(tables, transitions, policy)
+    private val outcomes = OrderOutcomes(tables, listings, policy)
     private val stops = StopPlanner(tables, listings, policy)
     private val changes = DurableChanges(tables, transitions)
     private val starts = StartPlanner(tables, policy, nextRunNumber)
@@ -173,6 +174,14 @@
         tables.dropExecutor(executor)
     }
 
+    /** Records that the address of [asked] belongs to a different executor now, so that this incarnation has ended. */
+    public fun recordReplacedExecutor(asked: ExecutorReport, now: Instant) {
+        val known = tables.executors[asked.identifier]?.report ?: return
+        // The answer of an earlier address says nothing about an incarnation that has registered another one.
+        if (known.incarnation != asked.incarnation || known.address != asked.address) return
+        removeExecutor(asked.identifier, now)
+    }
+
     /** Returns the next request to [executor], or `null` if the executor is no longer known. */
     public fun grantRequest(
         executor: ExecutorIdentifier,
@@ -192,6 +201,7 @@
             row.durableEnd,
             waiting,
             row.mayHoldRuns || row.listedAt == null,
+            row.hasStaleOrders,
             executor in tables.zones.probes,
         )
     }
@@ -220,35 +230,17 @@
     }
 
     /** Processes the outcome of a start order. */
-    public fun processStartOutcome(order: Order.Start, outcome: StartOutcome, now: Instant) {
-        val task = tables.task(order.task) ?: return
-        val run = task.active?.takeIf { it.run == order.run && it.executor == order.executor } ?: return
-        when (outcome) {
-            StartOutcome.Started -> {
-                tables.markBegun(order.task.job)
-                if (run.confirmedAt == null) run.confirmedAt = now
-                // The run may have waited for its durable record much longer than a run may be without progress.
-                if (run.percent < 0) run.percentSince = now
-                if (run.phase == RunPhase.Starting) run.phase = RunPhase.Running
-            }
-            is StartOutcome.Unknown -> Unit
-            is StartOutcome.Rejected -> {
-                tables.events +=
-                    SchedulerEvent(
-                        order.task.job,
-                        order.executor,
-                        "start rejected reason=${outcome.reason} run=${order.run}",
-                    )
-                if (outcome.reason == StartRejection.Unhealthy) {
-                    tables.executors[order.executor]?.let { listings.recordExecutorFailure(it, task, now) }
-                    task.lastFailedOn = order.executor
-                }
-                tables.release(task)
-                tables.requeue(task, now, now + policy.rejectionRetryDelay)
-                listings.restartGang(task, now)
-            }
-        }
-    }
+    public fun processStartOutcome(order: Order.Start, outcome: StartOutcome, now: Instant): Unit =
+        outcomes.processStart(order, outcome, now)
+
+    /** Processes the outcome of a stop order that was sent to [executor]. */
+    public fun processStopOutcome(
+        order: Order.Stop,
+        executor: ExecutorReport,
+        outcome: StopOutcome,
+        now: Instant,
+    ): Unit =
+        outcomes.processStop(order, executor, outcome, now)
 
     /** Records the tickets of the executors that may run a step. */
     public fun recordAdvice(request: AdviceRequest, tickets: Map<ExecutorIdentifier, String>, validUntil: Instant) {
@@ -314,7 +306,7 @@
         for (row in tables.executors.values) {
             if (row.reachable || !row.mayHoldRuns) continue
             val expiry = row.latestTimeOf(row.grantedUntil, policy.maximumClockDrift) + policy.expiryMargin
-            if (maxOf(expiry, settledAt) > now) continue
+            if (maxOf(expiry, settledAt, row.staleGrantsUntil) > now) continue
             tables.events += SchedulerEvent(null, row.identifier, "grants expired runs=${row.runs.size}")
             listings.requeueLostRuns(row, now)
         }
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/SchedulerOutputs.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/SchedulerOutputs.kt
@@ -24,6 +24,7 @@
  * @property durableEnd number of the last end that is durable; the executor may forget the ends up to it
  * @property awaitsDurability whether ends were processed that are not durable yet
  * @property busy whether runs may exist on the executor, or it has not answered yet
+ * @property awaitsStops whether starts have to be ruled out that were ordered from an earlier incarnation
  * @property isProbe whether to query this executor because an answer of another one in its zone is overdue
  */
 public data class GrantRequest(
@@ -32,6 +33,7 @@
     public val durableEnd: Long,
     public val awaitsDurability: Boolean,
     public val busy: Boolean,
+    public val awaitsStops: Boolean,
     public val isProbe: Boolean,
 )
 
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/SchedulingPolicy.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/SchedulingPolicy.kt
@@ -9,6 +9,8 @@
  *
  * @property startOrderValidity time within which a start order must arrive; the executor rejects it later
  * @property maximumClockDrift largest relative error of an executor's clock rate, from the platform's protocol
+ * @property longestGrant longest grant that an executor accepts, from the platform's protocol
+ * @property longestOrderDelay time after which an executor no longer executes an order that it has not answered
  * @property expiryMargin time added to the end of an executor's grant before its runs count as expired
  * @property rejectionRetryDelay time before a rejected start is retried
  * @property failureRetryDelay time before a failed task is restarted
@@ -25,6 +27,8 @@
 public data class SchedulingPolicy(
     public val startOrderValidity: Duration = 1200.milliseconds,
     public val maximumClockDrift: Double = 0.02,
+    public val longestGrant: Duration = 6.seconds,
+    public val longestOrderDelay: Duration = 12.seconds,
     public val expiryMargin: Duration = 300.milliseconds,
     public val rejectionRetryDelay: Duration = 60.milliseconds,
     public val failureRetryDelay: Duration = 30.milliseconds,
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/StartPlanner.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/StartPlanner.kt
@@ -155,6 +155,8 @@
         val deadline = clock + timeToDeadline
         executor.grantedUntil = maxOf(executor.grantedUntil, deadline)
         run.startDeadline = deadline
+        run.orderedFrom = executor.report.incarnation
+        run.inTransit = true
         run.phase = RunPhase.Starting
         val ticket = row.tickets[executor.identifier]?.text
         return Order.Start(
--- a/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SchedulerTest.kt
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SchedulerTest.kt
@@ -120,7 +120,7 @@
         now += 3.seconds
         list(scheduler, executor, clock = 103.seconds)
         val start = makeDurable(scheduler).single()
-        scheduler.processStartOutcome(start, StartOutcome.Started, now)
+        scheduler.processStartOutcome(start, StartOutcome.Started(), now)
         assertTrue(scheduler.plan(now + 40.milliseconds, now, forever, emptySet()).orders.isEmpty())
         now += 1.seconds
         list(scheduler, executor, listOf(ListedRun(start.task, start.run, "", 0, 0.0)), clock = 104.seconds)
@@ -263,7 +263,7 @@
         scheduler.accept(job("batch", width = 2), null, now, now)
         val batch = starts(scheduler)
         assertEquals(2, batch.size)
-        batch.forEach { scheduler.processStartOutcome(it, StartOutcome.Started, now) }
+        batch.forEach { scheduler.processStartOutcome(it, StartOutcome.Started(), now) }
         val serving = Step(1, Resources(4_000, 1_000), longRunning = true)
         scheduler.accept(job("serving", step = serving), null, now, now)
         scheduler.plan(now, now, forever, emptySet())
@@ -315,7 +315,7 @@
         val scheduler = scheduler(executor, attempts = 9)
         repeat(3) { scheduler.accept(job("a$it"), null, now, now) }
         val orders = starts(scheduler)
-        orders.forEach { scheduler.processStartOutcome(it, StartOutcome.Started, now) }
+        orders.forEach { scheduler.processStartOutcome(it, StartOutcome.Started(), now) }
         val ends = orders.mapIndexed {
             index,
             order,
@@ -375,7 +375,7 @@
         assertEquals(JobState.Queued, scheduler.state(JobIdentifier("a")))
         now += 1.seconds
         val retried = starts(scheduler).single()
-        scheduler.processStartOutcome(retried, StartOutcome.Started, now)
+        scheduler.processStartOutcome(retried, StartOutcome.Started(), now)
         assertEquals(JobState.Active, scheduler.state(JobIdentifier("a")))
         assertEquals(
             JobState.Active,
--- a/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SimulatedDayTest.kt
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SimulatedDayTest.kt
@@ -4,6 +4,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -56,6 +57,36 @@
     @Test
     fun `restarts of executors lose no job`() = runDays(SimulatedFaults(restarts = 0.05))
 
+    /** Guards against runs of a new incarnation that end with the earlier one, in which the owner still believes. */
+    @Test
+    fun `restarts that the owner learns of late start no task twice`() =
+        runDays(SimulatedFaults(restarts = 0.05, liveListLag = 1500.milliseconds, listingInterval = 1000.milliseconds))
+
+    /** Guards against orders whose deadline refers to the clock of an earlier incarnation. */
+    @Test
+    fun `orders that a new incarnation executes late start no task twice`() =
+        runDays(
+            SimulatedFaults(
+                restarts = 0.05,
+                lateOrders = 0.2,
+                outages = 0.03,
+                liveListLag = 1500.milliseconds,
+                listingInterval = 1000.milliseconds,
+            ),
+        )
+
+    /** Guards against runs on a restarted executor that a new owner takes for lost. */
+    @Test
+    fun `takeovers between a restart and its discovery start no task twice`() =
+        runDays(
+            SimulatedFaults(
+                restarts = 0.05,
+                takeovers = 0.3,
+                liveListLag = 1500.milliseconds,
+                listingInterval = 1000.milliseconds,
+            ),
+        )
+
     @Test
     fun `tasks on disconnected executors are not restarted before the grants end`() =
         runDays(SimulatedFaults(outages = 0.05))
--- a/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SimulatedExecutor.kt
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SimulatedExecutor.kt
@@ -15,7 +15,7 @@
 internal class SimulatedExecutor(
     var report: ExecutorReport,
     private val clockRate: Double,
-    private val clockStartedAt: Instant,
+    private var clockStartedAt: Instant,
     private val random: Random,
 ) {
     data class Run(
@@ -43,14 +43,18 @@
         advance(now)
         if (clock(now) > order.deadline) return StartOutcome.Rejected(StartRejection.Late)
         leaseEnd = maxOf(leaseEnd, minOf(order.deadline, clock(now) + 6.seconds))
-        if (running.any { it.task == order.task && it.run == order.run }) return StartOutcome.Started
+        if (running.any { it.task == order.task && it.run == order.run }) {
+            return StartOutcome.Started(
+                report.incarnation,
+            )
+        }
         if (order.run <= (highestEnded[order.task] ?: 0)) return StartOutcome.Rejected(StartRejection.OldRun)
         val used = running.fold(Resources.None) { sum, run -> sum + run.request }
         if (!step.reserved.fitsIn(report.capacity - used)) return StartOutcome.Rejected(StartRejection.Capacity)
         val length = step.estimate * random.nextDouble(0.5, 2.0)
         val endsAt = if (step.longRunning) null else now + length
         running += Run(order.task, order.run, now, endsAt, fails || broken, step.reserved)
-        return StartOutcome.Started
+        return StartOutcome.Started(report.incarnation)
     }
 
     fun stop(order: Order.Stop, now: Instant) {
@@ -98,8 +102,9 @@
         return completed
     }
 
-    /** Restarts the executor, which loses its state. */
+    /** Restarts the executor, which loses its state; its clock starts anew. */
     fun restart(now: Instant) {
+        clockStartedAt = now
         running.clear()
         ended.clear()
         highestEnded.clear()
--- a/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SimulatedFleet.kt
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SimulatedFleet.kt
@@ -15,6 +15,8 @@
  * @property outages probability that the executor is unreachable for some seconds, per second and executor
  * @property takeovers probability that the owner is replaced, per second
  * @property failures probability that a run fails
+ * @property liveListLag time after which the live list shows a restart
+ * @property listingInterval time between two listings of an executor
  */
 internal data class SimulatedFaults(
     val lostAnswers: Double = 0.0,
@@ -23,6 +25,16 @@
     val outages: Double = 0.0,
     val takeovers: Double = 0.0,
     val failures: Double = 0.0,
+    val liveListLag: Duration = Duration.ZERO,
+    val listingInterval: Duration = 200.milliseconds,
+)
+
+/** An order that an executor holds back until [executedAt]. A restart of the executor drops it. */
+private data class HeldOrder(
+    val executedAt: Instant,
+    val executor: SimulatedExecutor,
+    val incarnation: Long,
+    val order: Order.Start,
 )
 
 /** Runs a [Scheduler] in virtual time against simulated executors, and records violations of its guarantees. */
@@ -38,7 +50,8 @@
     val violations = mutableListOf<String>()
     val executors = List(executorCount) { executor(it) }
     private val offlineUntil = mutableMapOf<SimulatedExecutor, Instant>()
-    private val lateStarts = mutableListOf<Triple<Instant, SimulatedExecutor, Order.Start>>()
+    private val heldOrders = mutableListOf<HeldOrder>()
+    private val liveList = mutableListOf<Pair<Instant, List<ExecutorReport>>>()
     private val jobs = mutableMapOf<JobIdentifier, Job>()
     private val cancelled = mutableSetOf<JobIdentifier>()
     private val recorded = mutableMapOf<ExecutorIdentifier, ExecutorReport>()
@@ -73,7 +86,7 @@
             scheduler.accept(job, durableProgress[job.identifier], now, now)
             if (job.identifier in cancelled) scheduler.cancel(job.identifier, now)
         }
-        scheduler.updateLiveList(executors.map { it.report }, now)
+        scheduler.updateLiveList(visibleReports(), now)
         return scheduler
     }
 
@@ -99,10 +112,11 @@
     private fun step() {
         injectFaults()
         executors.forEach { executor -> completedTasks += executor.advance(now).map { it.first } }
-        lateStarts.filter { it.first <= now }.forEach { (_, executor, order) -> execute(executor, order) }
-        lateStarts.removeIf { it.first <= now }
-        scheduler.updateLiveList(executors.map { it.report }, now)
-        if ((now - startedAt).inWholeMilliseconds % 200 == 0L) executors.forEach { requestListing(it) }
+        executeHeldOrders()
+        liveList += now to executors.map { it.report }
+        scheduler.updateLiveList(visibleReports(), now)
+        val sinceStart = (now - startedAt).inWholeMilliseconds
+        if (sinceStart % faults.listingInterval.inWholeMilliseconds == 0L) executors.forEach { requestListing(it) }
         val plan = scheduler.plan(now, now, leaseEnd, emptySet())
         plan.orders.forEach { send(it) }
         scheduler.takeChanges(now)?.let { batch ->
@@ -114,6 +128,20 @@
         checkGuarantees()
     }
 
+    /** Returns the live list as it was before its lag. */
+    private fun visibleReports(): List<ExecutorReport> {
+        while (liveList.size > 1 && liveList[1].first <= now - faults.liveListLag) liveList.removeFirst()
+        return liveList.firstOrNull()?.second ?: executors.map { it.report }
+    }
+
+    private fun executeHeldOrders() {
+        val due = heldOrders.filter { it.executedAt <= now }
+        heldOrders -= due.toSet()
+        for (held in due) {
+            if (held.executor.report.incarnation == held.incarnation) execute(held.executor, held.order)
+        }
+    }
+
     private fun injectFaults() {
         val tick = 0.02
         for (executor in executors) {
@@ -154,14 +182,22 @@
         }
         when (order) {
             is Order.Start -> start(executor, order)
-            is Order.Stop -> executor.stop(order, now)
+            is Order.Stop -> stop(executor, order)
             is Order.Pace -> Unit
         }
     }
 
+    private fun stop(executor: SimulatedExecutor, order: Order.Stop) {
+        executor.stop(order, now)
+        val lost = random.nextDouble() < faults.lostAnswers
+        val outcome = if (lost) StopOutcome.Failed else StopOutcome.Accepted(executor.report.incarnation)
+        scheduler.processStopOutcome(order, executor.report, outcome, now)
+    }
+
     private fun start(executor: SimulatedExecutor, order: Order.Start) {
         if (random.nextDouble() < faults.lateOrders) {
-            lateStarts += Triple(now + random.nextInt(2, 12).seconds, executor, order)
+            val executedAt = now + random.nextInt(2, 12).seconds
+            heldOrders += HeldOrder(executedAt, executor, executor.report.incarnation, order)
             scheduler.processStartOutcome(order, StartOutcome.Unknown, now)
             return
         }
--- a/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SpeculativeCopiesTest.kt
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SpeculativeCopiesTest.kt
@@ -66,7 +66,7 @@
     private fun startThenStopAnswering(scheduler: Scheduler, speculative: Boolean = true): Order.Start {
         submit(scheduler, speculative)
         val start = starts(scheduler).single()
-        scheduler.processStartOutcome(start, StartOutcome.Started, now)
+        scheduler.processStartOutcome(start, StartOutcome.Started(), now)
         scheduler.recordRequest(start.executor, now)
         now += 1.seconds
         list(scheduler, otherExecutor(start))
@@ -96,7 +96,7 @@
     fun `the first of two copies completes the task and the other is stopped`() {
         val start = startThenStopAnswering(scheduler)
         val copy = starts(scheduler).single()
-        scheduler.processStartOutcome(copy, StartOutcome.Started, now)
+        scheduler.processStartOutcome(copy, StartOutcome.Started(), now)
         now += 100.milliseconds
         list(
             scheduler,
@@ -113,7 +113,7 @@
     fun `the abandoned run is stopped when its executor answers again`() {
         val start = startThenStopAnswering(scheduler)
         val copy = starts(scheduler).single()
-        scheduler.processStartOutcome(copy, StartOutcome.Started, now)
+        scheduler.processStartOutcome(copy, StartOutcome.Started(), now)
         now += 100.milliseconds
         list(scheduler, sameExecutor(start), ListedRun(start.task, start.run, "", 50, 0.0))
         val stop = stops().single()
@@ -153,7 +153,7 @@
         )
         scheduler.accept(job.copy(steps = listOf(step)), null, now, now)
         val begun = starts(scheduler)
-        begun.forEach { scheduler.processStartOutcome(it, StartOutcome.Started, now) }
+        begun.forEach { scheduler.processStartOutcome(it, StartOutcome.Started(), now) }
         val (silent, answering) = begun.sortedBy { it.executor.text }
         scheduler.recordRequest(silent.executor, now)
         now += 1.seconds
