Divide progress that outgrows a record, and let one job's refusal stay its own

Cause: JobLimits reckoned with 80 bytes for a task, but a task takes 99 bytes after three failures, so that the progress outgrows a record of the store. The owner put all changes into one append and repeated it without end, whatever the refusal; the next owner read the same log and did the same.

Change: ProgressLayout divides the progress into parts of 32 tasks once it does not fit into one record; each part fits by construction, also with the longest identifiers, numbers and checkpoints. Failed runs beyond 32 of a task are counted without numbers. Appends are split by the sizes in the settings. A refusal with status 400 or 413 is final: the records are appended in halves, and the job of the one that is left fails if the store takes that instead.

--- a/node/src/main/kotlin/dogwoodgrade/node/ClassArchive.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/ClassArchive.kt
@@ -44,7 +44,7 @@
     val identifier = JobIdentifier("archive")
     val job = Job(identifier, "queue", "pool", null, "", listOf(Step(1, Resources(1, 1))), null, now)
     FleetRecords.decodeJob(identifier, FleetRecords.encode(job))
-    FleetRecords.decodeProgress(FleetRecords.encode(JobProgress()))
+    FleetRecords.decodeProgress(FleetRecords.encode(ProgressPart(JobProgress())))
     FleetRecords.decodeOwner(FleetRecords.encode(OwnershipRecord(1, "archive", "", false)))
     val scheduler = Scheduler(SchedulingPolicy()) { 1 }
     scheduler.accept(job, null, now, now)
--- a/node/src/main/kotlin/dogwoodgrade/node/FleetRecordForms.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/FleetRecordForms.kt
@@ -3,6 +3,7 @@
 import dogwoodgrade.platform.LATEST_TIME
 import dogwoodgrade.scheduling.ExecutorIdentifier
 import dogwoodgrade.scheduling.ExecutorReport
+import dogwoodgrade.scheduling.FailedRuns
 import dogwoodgrade.scheduling.Job
 import dogwoodgrade.scheduling.JobIdentifier
 import dogwoodgrade.scheduling.JobProgress
@@ -185,7 +186,7 @@
     }
 }
 
-/** Progress of a job. Positions are encoded as `occurrence.step.index`, started runs as `run@executor`. */
+/** A part of a job's progress. Positions are encoded as `occurrence.step.index`, started runs as `run@executor`. */
 @Serializable
 internal data class ProgressRecord(
     @SerialName("s") val state: JobState,
@@ -194,27 +195,44 @@
     @SerialName("c") val checkpoints: Map<String, String> = emptyMap(),
     @SerialName("r") val started: Map<String, String> = emptyMap(),
     @SerialName("a") val abandoned: Map<String, String> = emptyMap(),
+    @SerialName("e") val earlierFailures: Map<String, Int> = emptyMap(),
+    @SerialName("p") val furtherParts: Int = 0,
 ) {
-    fun toProgress(): JobProgress =
+    fun toPart(): ProgressPart {
+        if (furtherParts < 0) throw SerializationException("$furtherParts further parts")
+        return ProgressPart(toProgress(), furtherParts)
+    }
+
+    private fun toProgress(): JobProgress =
         JobProgress(
             state,
             completed.mapTo(mutableSetOf()) { position(it) },
-            failures.entries.associate { (key, value) -> position(key) to value.toSet() },
+            failures.entries.associate { (key, value) ->
+                val earlier = (earlierFailures[key] ?: 0).coerceAtLeast(0)
+                position(key) to FailedRuns.of(value.toSet(), earlier)
+            },
             checkpoints.mapKeys { (key, _) -> position(key) },
             started.entries.associate { (key, value) -> position(key) to startedRun(value) },
             abandoned.entries.associate { (key, value) -> position(key) to startedRun(value) },
         )
 
     companion object {
-        fun of(progress: JobProgress): ProgressRecord =
-            ProgressRecord(
+        fun of(part: ProgressPart): ProgressRecord {
+            val progress = part.progress
+            return ProgressRecord(
                 progress.state,
                 progress.completed.map { text(it) },
-                progress.failures.entries.associate { (key, value) -> text(key) to value.toList() },
+                progress.failures.entries.associate { (key, value) -> text(key) to value.numbers.toList() },
                 progress.checkpoints.mapKeys { (key, _) -> text(key) },
                 progress.started.entries.associate { (key, value) -> text(key) to text(value) },
                 progress.abandoned.entries.associate { (key, value) -> text(key) to text(value) },
+                progress.failures
+                    .filterValues { it.earlier > 0 }
+                    .entries
+                    .associate { (key, value) -> text(key) to value.earlier },
+                part.furtherParts,
             )
+        }
 
         private fun text(run: StartedRun) = "${run.run}@${run.executor}"
 
--- a/node/src/main/kotlin/dogwoodgrade/node/FleetRecords.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/FleetRecords.kt
@@ -6,7 +6,6 @@
 import dogwoodgrade.scheduling.ExecutorReport
 import dogwoodgrade.scheduling.Job
 import dogwoodgrade.scheduling.JobIdentifier
-import dogwoodgrade.scheduling.JobProgress
 import dogwoodgrade.scheduling.JobState
 import dogwoodgrade.scheduling.jobIdentifierOrNull
 import io.github.oshai.kotlinlogging.KotlinLogging
@@ -55,7 +54,9 @@
 
     fun cancellationKey(job: JobIdentifier): String = CANCELLATION_PREFIX + job
 
-    fun progressKey(job: JobIdentifier): String = PROGRESS_PREFIX + job
+    /** Returns the key of a part of the progress of [job]. The first one has the key that the whole progress has. */
+    fun progressKey(job: JobIdentifier, part: Int = 0): String =
+        if (part == 0) "$PROGRESS_PREFIX$job" else "$PROGRESS_PREFIX$job/$part"
 
     fun stateKey(job: JobIdentifier): String = STATE_PREFIX + job
 
@@ -68,7 +69,14 @@
 
     fun cancelledJobOf(key: String): JobIdentifier? = identifier(key, CANCELLATION_PREFIX)
 
-    fun progressJobOf(key: String): JobIdentifier? = identifier(key, PROGRESS_PREFIX)
+    /** Returns the job and the part that [key] names, or `null` if it is not the key of progress. */
+    fun progressPartOf(key: String): Pair<JobIdentifier, Int>? {
+        if (!key.startsWith(PROGRESS_PREFIX)) return null
+        val names = key.removePrefix(PROGRESS_PREFIX).split('/')
+        val job = jobIdentifierOrNull(names[0]) ?: return null
+        val part = if (names.size == 1) 0 else names[1].toIntOrNull()?.takeIf { it > 0 && names.size == 2 }
+        return part?.let { job to it }
+    }
 
     fun stateJobOf(key: String): JobIdentifier? = identifier(key, STATE_PREFIX)
 
@@ -80,10 +88,10 @@
     fun decodeJob(identifier: JobIdentifier, value: ByteArray): Job? =
         decode("job $identifier") { json.decodeFromString<JobRecord>(value.decodeToString()).toJob(identifier) }
 
-    fun encode(progress: JobProgress): ByteArray = json.encodeToString(ProgressRecord.of(progress)).encodeToByteArray()
+    fun encode(part: ProgressPart): ByteArray = json.encodeToString(ProgressRecord.of(part)).encodeToByteArray()
 
-    fun decodeProgress(value: ByteArray): JobProgress? =
-        decode("progress") { json.decodeFromString<ProgressRecord>(value.decodeToString()).toProgress() }
+    fun decodeProgress(value: ByteArray): ProgressPart? =
+        decode("progress") { json.decodeFromString<ProgressRecord>(value.decodeToString()).toPart() }
 
     /** Encodes a published state: the names of state and queue, separated by a space. */
     fun encode(published: PublishedState): ByteArray = "${published.state.name} ${published.queue}".encodeToByteArray()
--- a/node/src/main/kotlin/dogwoodgrade/node/JobIntake.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/JobIntake.kt
@@ -3,7 +3,6 @@
 import dogwoodgrade.platform.Producer
 import dogwoodgrade.platform.StoreClient
 import dogwoodgrade.platform.Topic
-import dogwoodgrade.platform.fitsIntoRecord
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.channels.Channel
@@ -59,7 +58,7 @@
  * repeated under the same sequence number until its outcome is known, so that a refused record is never appended.
  */
 internal class JobIntake(
-    store: StoreClient,
+    private val store: StoreClient,
     private val producer: String,
     clock: NodeClock,
     storeAvailability: StoreAvailability,
@@ -70,7 +69,7 @@
 
     /** Appends a record and waits at most [limit] for the outcome. */
     suspend fun append(key: String, value: ByteArray?, limit: Duration): IntakeOutcome {
-        if (!fitsIntoRecord(key, value)) {
+        if (!store.limits.admitsRecord(key, value)) {
             logger.warn { "intake: record refused, too large key=${key.take(LONGEST_LOGGED_KEY)} bytes=${value?.size}" }
             return IntakeOutcome.TooLarge
         }
@@ -92,7 +91,7 @@
             val batch = mutableListOf(queue.receive())
             while (batch.size < MAX_RECORDS_PER_APPEND) batch += queue.tryReceive().getOrNull() ?: break
             val current = batch.filter { it.send() }
-            if (current.isNotEmpty()) appendBatch(current)
+            store.limits.splitIntoCalls(current) { it.key to it.value }.forEach { appendBatch(it) }
         }
     }
 
@@ -104,6 +103,15 @@
                     sequence++
                     IntakeOutcome.Durable
                 }
+                is KnownOutcome.Invalid -> {
+                    logger.warn { "intake: records not taken records=${batch.size} reason=${appendOutcome.reason}" }
+                    if (batch.size > 1) {
+                        // The other callers are not refused because of one record.
+                        batch.forEach { appendBatch(listOf(it)) }
+                        return
+                    }
+                    IntakeOutcome.TooLarge
+                }
                 is KnownOutcome.Refused -> {
                     logger.warn { "intake: append refused records=${batch.size} outcome=${appendOutcome.last}" }
                     IntakeOutcome.NotDone
--- a/node/src/main/kotlin/dogwoodgrade/node/JobTable.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/JobTable.kt
@@ -5,6 +5,7 @@
 import dogwoodgrade.scheduling.JobIdentifier
 import dogwoodgrade.scheduling.JobProgress
 import dogwoodgrade.scheduling.JobState
+import dogwoodgrade.scheduling.ProgressLayout
 
 /**
  * State of one job according to the log.
@@ -14,15 +15,13 @@
  *
  * @property jobRecord the accepted job, or `null` if only a cancellation, progress or summary of it has been read
  * @property cancelled whether a cancellation is durable
- * @property progressRecord newest progress, or `null` if there is none
- * @property progressOffset offset of the newest progress in the progress topic
+ * @property progressRecords newest record of each part of the progress, by the number of the part
  * @property published what the summary says of it, or `null` if it was not read from there
  */
 internal data class KnownJob(
     val jobRecord: Lazy<Job?>? = null,
     val cancelled: Boolean = false,
-    val progressRecord: Lazy<JobProgress?>? = null,
-    val progressOffset: Long = -1,
+    val progressRecords: Map<Int, RecordedPart> = emptyMap(),
     val published: PublishedState? = null,
 ) {
     /** The accepted job, or `null` if its record has not been read. */
@@ -33,18 +32,40 @@
     val queue: String?
         get() = published?.queue ?: job?.queue
 
+    private val firstPart: ProgressPart?
+        get() = progressRecords[0]?.part
+
     /** Newest progress, or `null` if there is none. */
     val progress: JobProgress?
-        get() = progressRecord?.value
+        get() {
+            val first = firstPart ?: return null
+            if (first.furtherParts == 0) return first.progress
+            val further = progressRecords.filterKeys { it in 1..first.furtherParts }.values
+            return ProgressLayout.join(first.progress, further.mapNotNull { it.part?.progress })
+        }
 
     /** The state that is reported to callers. */
     val state: JobState
         get() {
-            val recorded = laterState(progress?.state ?: JobState.Queued, published?.state ?: JobState.Queued)
+            val recorded =
+                laterState(firstPart?.progress?.state ?: JobState.Queued, published?.state ?: JobState.Queued)
             return if (cancelled && !recorded.ended) JobState.Cancelled else recorded
         }
 }
 
+/**
+ * A record of one part of a job's progress.
+ *
+ * @property offset offset in the progress topic
+ */
+internal class RecordedPart(
+    private val record: Lazy<ProgressPart?>,
+    val offset: Long,
+) {
+    /** Content, or `null` if the record is malformed. */
+    val part: ProgressPart? get() = record.value
+}
+
 /**
  * Returns the later of two states of one job, which were read from topics that are not read equally far: an end is
  * later than active, and active is later than queued.
@@ -133,29 +154,52 @@
     /** Applies a record of the progress topic. */
     @Synchronized
     fun applyProgress(record: KeyedRecord) {
-        val identifier = FleetRecords.progressJobOf(record.key) ?: return
+        val (identifier, part) = FleetRecords.progressPartOf(record.key) ?: return
         val value = record.value
         if (value == null) {
-            if (jobs[identifier]?.jobRecord == null) jobs -= identifier
+            removeProgress(identifier, part)
             return
         }
-        applyProgress(identifier, lazy { FleetRecords.decodeProgress(value) }, record.offset)
+        applyPart(identifier, part, RecordedPart(lazy { FleetRecords.decodeProgress(value) }, record.offset))
+    }
+
+    private fun removeProgress(identifier: JobIdentifier, part: Int) {
+        val known = jobs[identifier] ?: return
+        if (part > 0) {
+            jobs[identifier] = known.copy(progressRecords = known.progressRecords - part)
+        } else if (known.jobRecord == null) {
+            jobs -= identifier
+        }
     }
 
     /**
-     * Applies progress that is durable at [offset]. Older progress is ignored, because the owner applies its own
-     * appends before it reads earlier ones back.
+     * Applies a change of progress that is durable at [offset]. Older progress is ignored, because the owner applies
+     * its own appends before it reads earlier ones back.
      */
     @Synchronized
-    fun applyProgress(identifier: JobIdentifier, progress: JobProgress, offset: Long) =
-        applyProgress(identifier, lazyOf(progress), offset)
+    fun applyProgress(change: ProgressChange, offset: Long) {
+        if (change.part == null) {
+            removeProgress(change.job, change.number)
+        } else {
+            applyPart(change.job, change.number, RecordedPart(lazyOf(change.part), offset))
+        }
+    }
 
-    private fun applyProgress(identifier: JobIdentifier, progress: Lazy<JobProgress?>, offset: Long) {
-        val knownJob = jobs[identifier] ?: KnownJob()
-        if (knownJob.progressRecord != null && offset <= knownJob.progressOffset) return
-        jobs[identifier] = knownJob.copy(progressRecord = progress, progressOffset = offset)
+    private fun applyPart(identifier: JobIdentifier, part: Int, record: RecordedPart) {
+        val known = jobs[identifier] ?: KnownJob()
+        if (record.offset <= (known.progressRecords[part]?.offset ?: -1)) return
+        jobs[identifier] = known.copy(progressRecords = known.progressRecords + (part to record))
     }
 
+    /** Returns the recorded parts of the progress of a job, by their number. */
+    @Synchronized
+    fun progressParts(identifier: JobIdentifier): Map<Int, ProgressPart> =
+        jobs[identifier]
+            ?.progressRecords
+            .orEmpty()
+            .mapNotNull { (number, record) -> record.part?.let { number to it } }
+            .toMap()
+
     /**
      * Applies records of the summary.
      *
--- a/node/src/main/kotlin/dogwoodgrade/node/Node.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/Node.kt
@@ -92,7 +92,7 @@
     private val policy = OwnershipPolicy(maximumGrantDuration = settings.longestGrant)
     private val incarnation = clock.wallTime().toEpochMilliseconds().toString(36)
     private val candidate = Candidate(settings.entry, incarnation, settings.processorCores)
-    private val store = StoreClient(vertx, settings.store)
+    private val store = StoreClient(vertx, settings.store, settings.storeLimits)
     private val storeAvailability = StoreAvailability(STORE_SILENCE_LIMIT)
     private val intake = JobIntake(store, "entry-${settings.entry}-$incarnation", clock, storeAvailability)
     private val components =
--- a/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
@@ -157,7 +157,7 @@
                 logger.info { "owner: removal of ended job job=$job dropped=$dropped" }
                 if (!dropped) continue
                 node.intake.append(FleetRecords.cancellationKey(job), null, JOB_REMOVAL_TIME_LIMIT)
-                writer.enqueueRecord(FleetRecords.progressKey(job), null)
+                writer.enqueueRemoval(job)
                 states.remove(job)
             }
         }
--- a/node/src/main/kotlin/dogwoodgrade/node/OwnerWriter.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnerWriter.kt
@@ -3,7 +3,6 @@
 import dogwoodgrade.ownership.Lease
 import dogwoodgrade.ownership.OwnershipPolicy
 import dogwoodgrade.ownership.OwnershipRecord
-import dogwoodgrade.platform.AppendOutcome
 import dogwoodgrade.platform.Producer
 import dogwoodgrade.platform.StoreClient
 import dogwoodgrade.platform.Topic
@@ -28,12 +27,15 @@
 /** Pause between two appends, in which changes accumulate. */
 private val APPEND_GATHER_PAUSE: Duration = 8.milliseconds
 
-/** Shortest time between two log lines about unanswered attempts of one append. */
-private val UNANSWERED_APPEND_LOG_INTERVAL: Duration = 1000.milliseconds
+/** Shortest time between two log lines about failed attempts of one append. */
+private val FAILED_APPEND_LOG_INTERVAL: Duration = 1000.milliseconds
 
 /** Pause before an append that the store refused or did not answer is repeated. */
 private val APPEND_RETRY_PAUSE: Duration = 50.milliseconds
 
+/** Pause before an append is repeated if the store takes none of the owner's records. */
+private val REFUSED_RECORD_PAUSE: Duration = 1000.milliseconds
+
 /**
  * Appends the owner's progress to the log and renews its lease: a confirmed append proves that no other owner has
  * written before it.
@@ -58,7 +60,8 @@
 ) {
     private val appends = RepeatedAppend(store, storeAvailability, clock, APPEND_RETRY_PAUSE)
     private val changeSignal = Channel<Unit>(Channel.CONFLATED)
-    private val otherRecords = Channel<Pair<String, ByteArray?>>(Channel.UNLIMITED)
+    private val otherRecords = Channel<ProgressTopicRecord>(Channel.UNLIMITED)
+    private val limits = store.limits
     private var sequence = claimSequence
     private var renewedAt = clock.now()
 
@@ -75,10 +78,16 @@
 
     /** Adds a record to the next append. */
     fun enqueueRecord(key: String, value: ByteArray?) {
-        otherRecords.trySend(key to value)
+        otherRecords.trySend(ProgressTopicRecord(key, value))
         notifyChanged()
     }
 
+    /** Removes the progress of [job] with the next append. */
+    fun enqueueRemoval(job: JobIdentifier) {
+        val parts = jobs.progressParts(job).keys + 0
+        parts.sorted().forEach { enqueueRecord(FleetRecords.progressKey(job, it), null) }
+    }
+
     /** Makes the writer append a resignation as its last record, in favour of [successor] if one is named. */
     fun resign(successor: String?) {
         this.successor = successor
@@ -103,33 +112,44 @@
         }
     }
 
-    private fun takeOtherRecords(): List<Pair<String, ByteArray?>> =
+    private fun takeOtherRecords(): List<ProgressTopicRecord> =
         generateSequence { otherRecords.tryReceive().getOrNull() }.toList()
 
+    /**
+     * Makes a batch durable, with one call of the store or, if it is too large for one, with several.
+     *
+     * Nothing is ordered or acknowledged before all of them have succeeded, so that a new owner that finds a part of
+     * the batch misses only what it learns again from the executors.
+     */
     private suspend fun append(
         batch: ProgressBatch?,
-        otherRecords: List<Pair<String, ByteArray?>>,
+        otherRecords: List<ProgressTopicRecord>,
         renew: Boolean,
         isLast: Boolean,
     ): Boolean {
-        val records = mutableListOf<Pair<String, ByteArray?>>()
-        records += otherRecords
-        batch?.progress?.forEach { (job, progress) ->
-            records += FleetRecords.progressKey(job) to FleetRecords.encode(progress)
-        }
-        batch?.executors?.forEach { records += FleetRecords.executorKey(it.identifier) to FleetRecords.encode(it) }
-        batch?.goneExecutors?.forEach { records += FleetRecords.executorKey(it) to null }
+        val changes = batch?.let { progressChangesOf(it) }.orEmpty()
+        val records = otherRecords.toMutableList()
+        changes.mapTo(records) { ProgressTopicRecord(it.key, it.value, it.job) }
+        batch?.executors?.mapTo(
+            records,
+        ) { ProgressTopicRecord(FleetRecords.executorKey(it.identifier), FleetRecords.encode(it)) }
+        batch?.goneExecutors?.mapTo(records) { ProgressTopicRecord(FleetRecords.executorKey(it), null) }
         if (renew ||
             records.isEmpty()
         ) {
-            records += FleetRecords.OWNER_KEY to FleetRecords.encode(ownRecord(isLast))
+            records += ProgressTopicRecord(FleetRecords.OWNER_KEY, FleetRecords.encode(ownRecord(isLast)))
+        }
+        val failedJobs = mutableSetOf<JobIdentifier>()
+        var appended: KnownOutcome.Durable? = null
+        for (call in limits.splitIntoCalls(records) { it.key to it.value }) {
+            appended = appendValid(call, failedJobs) ?: return false
         }
-        val appended = appendUntilKnown(records) ?: return false
-        if (renew) renewedAt = appended.sentAt
-        ownership.updateLease(Lease(record.epoch, appended.sentAt))
+        val durable = checkNotNull(appended) { "an append has at least one record" }
+        if (renew) renewedAt = durable.sentAt
         if (batch != null) {
-            batch.progress.forEach { (job, progress) -> jobs.applyProgress(job, progress, appended.endOffset - 1) }
-            onProgress(batch.progress)
+            changes.forEach { if (it.job !in failedJobs) jobs.applyProgress(it, durable.endOffset - 1) }
+            failedJobs.forEach { jobs.applyProgress(failedJobRecord(it), durable.endOffset - 1) }
+            onProgress(batch.progress - failedJobs)
             if (batch.forgotten.isNotEmpty()) onForgotten(batch.forgotten)
         }
         val starts = if (batch == null) emptyList() else startsAfter(batch)
@@ -137,32 +157,101 @@
         return true
     }
 
+    private fun progressChangesOf(batch: ProgressBatch): List<ProgressChange> {
+        val definitions = fleet.withSchedule { schedule -> batch.progress.keys.associateWith { schedule.job(it) } }
+        return batch.progress.flatMap { (identifier, progress) ->
+            val job = checkNotNull(definitions[identifier]) { "progress of the unknown job $identifier" }
+            progressChanges(job, progress, jobs.progressParts(identifier), limits)
+        }
+    }
+
+    /**
+     * Appends [records], or returns `null` if another owner has taken over.
+     *
+     * If the store does not take some of them, the others are appended without these. A job whose record is at fault
+     * fails, so that it does not keep all others from becoming durable; it is added to [failedJobs].
+     */
+    private suspend fun appendValid(
+        records: List<ProgressTopicRecord>,
+        failedJobs: MutableSet<JobIdentifier>,
+    ): KnownOutcome.Durable? {
+        val outcome = appendUntilKnown(records)
+        return when {
+            outcome is KnownOutcome.Durable -> outcome
+            outcome !is KnownOutcome.Invalid -> null
+            records.size > 1 -> {
+                val (first, second) = records.chunked((records.size + 1) / 2)
+                appendValid(first, failedJobs)?.let { appendValid(second, failedJobs) }
+            }
+            else -> appendInstead(records.single(), outcome.reason, failedJobs)
+        }
+    }
+
+    /**
+     * Replaces a [record] that the store does not take: the failure of its job, or else the record of the owner. It is
+     * at fault only if the store takes the replacement.
+     */
+    private suspend fun appendInstead(
+        record: ProgressTopicRecord,
+        reason: String,
+        failedJobs: MutableSet<JobIdentifier>,
+    ): KnownOutcome.Durable? {
+        val job = record.job
+        val replacement =
+            if (job == null) {
+                ProgressTopicRecord(FleetRecords.OWNER_KEY, FleetRecords.encode(ownRecord(isLast = false)))
+            } else {
+                failedJobRecord(job).let { ProgressTopicRecord(it.key, it.value, job) }
+            }
+        logger.error { "owner: record not taken key=${record.key} bytes=${record.value?.size} reason=$reason" }
+        while (true) {
+            val outcome = appendUntilKnown(listOf(replacement))
+            if (outcome is KnownOutcome.Durable) {
+                if (job != null) {
+                    failedJobs += job
+                    fleet.withSchedule { it.giveUp(job, clock.now()) }
+                }
+                return outcome
+            }
+            if (outcome !is KnownOutcome.Invalid) return null
+            logger.warn { "owner: no record is taken reason=${outcome.reason}" }
+            delay(REFUSED_RECORD_PAUSE)
+        }
+    }
+
     private fun ownRecord(isLast: Boolean): OwnershipRecord =
         if (isLast) record.copy(resigned = true, successor = successor) else record
 
     private fun startsAfter(batch: ProgressBatch): List<Order.Start> =
         fleet.withSchedule { it.confirmDurable(batch, ownership.ordersUntil(), clock.now()) }
 
-    /** Returns the confirmed append, or `null` if another owner has taken over. */
-    private suspend fun appendUntilKnown(records: List<Pair<String, ByteArray?>>): KnownOutcome.Durable? {
+    /** Appends [records] in one call until the outcome is known. */
+    private suspend fun appendUntilKnown(records: List<ProgressTopicRecord>): KnownOutcome {
         val producer = Producer(OWNER_PRODUCER, record.epoch, sequence + 1)
         var loggedAt = Instant.DISTANT_PAST
-        val appendOutcome =
-            appends.append(Topic.Progress, records, producer) { outcome, sentAt ->
-                if (outcome is AppendOutcome.NotAppended) {
-                    logger.debug {
-                        "owner: append refused reason=${outcome.reason}"
-                    }
-                }
-                if (outcome is AppendOutcome.Unknown && sentAt - loggedAt > UNANSWERED_APPEND_LOG_INTERVAL) {
+        val outcome =
+            appends.append(Topic.Progress, records.map { it.key to it.value }, producer) { failed, sentAt ->
+                if (sentAt - loggedAt > FAILED_APPEND_LOG_INTERVAL) {
                     loggedAt = sentAt
-                    logger.warn { "owner: append without answer records=${records.size} reason=${outcome.reason}" }
+                    logger.warn { "owner: append failed records=${records.size} outcome=$failed" }
                 }
             }
-        return when (appendOutcome) {
-            is KnownOutcome.Durable -> appendOutcome.also { sequence++ }
-            KnownOutcome.Fenced -> null
-            is KnownOutcome.Refused -> error("append with unlimited attempts was refused: ${appendOutcome.last}")
+        if (outcome is KnownOutcome.Durable) {
+            sequence++
+            ownership.updateLease(Lease(record.epoch, outcome.sentAt))
         }
+        return outcome
     }
 }
+
+/**
+ * A record of the progress topic.
+ *
+ * @property value content, or `null` if the record is removed
+ * @property job job whose progress it is, or `null` for any other record
+ */
+private class ProgressTopicRecord(
+    val key: String,
+    val value: ByteArray?,
+    val job: JobIdentifier? = null,
+)
--- a/node/src/main/kotlin/dogwoodgrade/node/RepeatedAppend.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/RepeatedAppend.kt
@@ -32,6 +32,9 @@
     /** A writer with a higher epoch has taken over; nothing was appended. */
     data object Fenced : KnownOutcome
 
+    /** The store never takes the records. Nothing was appended, and the sequence number can be used again. */
+    data class Invalid(val reason: String) : KnownOutcome
+
     /** The store refused every attempt, and no attempt can have been executed. */
     data class Refused(val last: AppendOutcome) : KnownOutcome
 }
@@ -71,10 +74,12 @@
                 is AppendOutcome.Appended -> return KnownOutcome.Durable(uncertainSince ?: sentAt, outcome.endOffset)
                 AppendOutcome.Fenced -> return KnownOutcome.Fenced
                 is AppendOutcome.Unknown -> uncertainSince = uncertainSince ?: sentAt
+                is AppendOutcome.Invalid -> Unit
                 is AppendOutcome.NotAppended -> refused++
                 is AppendOutcome.EndMoved -> error("append without an expected end offset was $outcome")
             }
             onFailure(outcome, sentAt)
+            if (outcome is AppendOutcome.Invalid) return KnownOutcome.Invalid(outcome.reason)
             if (uncertainSince == null && refused >= maximumRefusals) return KnownOutcome.Refused(outcome)
             delay(pause)
         }
--- a/node/src/main/kotlin/dogwoodgrade/node/StatePublisher.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/StatePublisher.kt
@@ -26,7 +26,7 @@
 /** Pause before an append that the store refused or did not answer is repeated. */
 private val STATE_RETRY_PAUSE: Duration = 100.milliseconds
 
-/** Largest number of states in one append, which the store bounds in bytes. */
+/** Largest number of changes in one append. */
 private const val MAX_STATES_PER_APPEND = 4000
 
 /** Number of failed reads of the summary after which a new owner publishes all states anew. */
@@ -114,21 +114,46 @@
         }
     }
 
+    /**
+     * Appends [records] and the owner's record, with as many calls as they need.
+     *
+     * @return `false` if another owner has taken over
+     */
     private suspend fun append(records: List<Pair<String, ByteArray?>>): Boolean {
         val owner = FleetRecords.OWNER_KEY to FleetRecords.encode(record)
-        val producer = Producer(OWNER_PRODUCER, record.epoch, ++sequence)
+        val durable = store.limits.splitIntoCalls(records + owner) { it }.all { appendValid(it) }
+        appendedAt = clock.now()
+        return durable
+    }
+
+    /**
+     * Appends [records] in one call. Those that the store does not take are left out: instances that read the progress
+     * show these states as well.
+     */
+    private suspend fun appendValid(records: List<Pair<String, ByteArray?>>): Boolean {
+        val producer = Producer(OWNER_PRODUCER, record.epoch, sequence + 1)
         var loggedAt = appendedAt
         val outcome =
-            appends.append(Topic.States, records + owner, producer) { failed, sentAt ->
+            appends.append(Topic.States, records, producer) { failed, sentAt ->
                 if (sentAt - loggedAt > FAILURE_LOG_INTERVAL) {
                     loggedAt = sentAt
                     logger.warn { "owner: states not appended records=${records.size} outcome=$failed" }
                 }
             }
-        appendedAt = clock.now()
-        val durable = outcome is KnownOutcome.Durable
-        if (!durable) logger.info { "owner: states no longer published epoch=${record.epoch} outcome=$outcome" }
-        return durable
+        return when (outcome) {
+            is KnownOutcome.Durable -> {
+                sequence++
+                true
+            }
+            is KnownOutcome.Invalid -> {
+                logger.error { "owner: states not taken records=${records.size} reason=${outcome.reason}" }
+                records.size == 1 || records.all { appendValid(listOf(it)) }
+            }
+            else -> {
+                logger.info { "owner: states no longer published epoch=${record.epoch} outcome=$outcome" }
+                false
+            }
+        }
     }
 
     /**
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Job.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Job.kt
@@ -149,7 +149,7 @@
  * A run is recorded here before its start is ordered, so that a new owner knows every run that may exist.
  *
  * @property completed tasks that have completed; empty once the job has ended
- * @property failures numbers of the failed runs by task; tasks without failures are absent
+ * @property failures failed runs by task; tasks without failures are absent
  * @property checkpoints newest checkpoint recorded for each task
  * @property started runs that exist or may exist
  * @property abandoned earlier runs of speculative tasks that may exist in addition to the one in [started]
@@ -157,11 +157,15 @@
 public data class JobProgress(
     public val state: JobState = JobState.Queued,
     public val completed: Set<TaskPosition> = emptySet(),
-    public val failures: Map<TaskPosition, Set<Long>> = emptyMap(),
+    public val failures: Map<TaskPosition, FailedRuns> = emptyMap(),
     public val checkpoints: Map<TaskPosition, String> = emptyMap(),
     public val started: Map<TaskPosition, StartedRun> = emptyMap(),
     public val abandoned: Map<TaskPosition, StartedRun> = emptyMap(),
-)
+) {
+    /** Whether it says nothing about any task. */
+    public val hasNoTasks: Boolean
+        get() = listOf(completed, failures.keys, checkpoints.keys, started.keys, abandoned.keys).all { it.isEmpty() }
+}
 
 /** A run whose start has been ordered or is about to be. */
 public data class StartedRun(
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobLimits.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobLimits.kt
@@ -3,17 +3,17 @@
 import kotlin.time.Duration
 
 /*
- * Limits of jobs. The progress of a job is one record of the log, and the owner keeps a row for each task, so that a
- * job without limits exhausts the record or the memory.
+ * Limits of jobs. The owner keeps a row for each task and records its progress, so that a job without limits exhausts
+ * the memory or the log. [ProgressLayout] divides the progress, so that no job exceeds a record of the log.
  */
 
 /** Most steps of a job; the time to rank a job grows with their square. */
 private const val MOST_STEPS = 256
 
-/** Most tasks of one occurrence: 80 bytes each, for run, checkpoint and failure, fit into a record of 262,144 bytes. */
+/** Most tasks of one occurrence. */
 internal const val MOST_TASKS = 3_000L
 
-/** Most tasks of all occurrences: 13 bytes each, for a completed one, fit into a record. */
+/** Most tasks of all occurrences. */
 private const val MOST_TASKS_OF_ALL_OCCURRENCES = 15_000L
 
 /** Longest identifier of a job, which becomes part of keys with at most 255 bytes. */
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobRows.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobRows.kt
@@ -17,10 +17,10 @@
 /**
  * A run that exists or may exist on an executor.
  *
- * @property startDeadline time on the clock of [orderedFrom] after which an unanswered start can no longer be executed
+ * @property startDeadline time on the clock of [orderedFrom] after which an unanswered start is no longer executed
  * @property orderedFrom incarnation of the executor that the start was meant for, or `null` if this owner has not
  * ordered it
- * @property inTransit whether the start has been sent and its call has not ended, so that it may still reach an executor
+ * @property inTransit whether the call of the start has not ended, so that it may still reach an executor
  * @property confirmedAt time at which the executor confirmed the run, or `null` while the start is unanswered
  * @property confirmedBy incarnation that confirmed the run, or `null` if it is not known
  * @property stopAcceptance answer to a stop of the run, or `null` if there is none
@@ -71,7 +71,7 @@
     val name: TaskName,
     var phase: TaskPhase = TaskPhase.Waiting,
     var active: ActiveRun? = null,
-    var failedRuns: Set<Long> = emptySet(),
+    var failedRuns: FailedRuns = FailedRuns(),
     var checkpoint: String = "",
     var notBefore: Instant = Instant.DISTANT_PAST,
     var readySince: Instant = Instant.DISTANT_PAST,
@@ -135,7 +135,7 @@
 
     fun progress(): JobProgress {
         val completed = mutableSetOf<TaskPosition>()
-        val failures = mutableMapOf<TaskPosition, Set<Long>>()
+        val failures = mutableMapOf<TaskPosition, FailedRuns>()
         val started = mutableMapOf<TaskPosition, StartedRun>()
         val abandoned = mutableMapOf<TaskPosition, StartedRun>()
         val checkpoints = mutableMapOf<TaskPosition, String>()
@@ -145,7 +145,7 @@
             row.abandoned?.let { abandoned[position] = it }
             if (ended) continue
             if (row.phase == TaskPhase.Done) completed += position
-            if (row.failedRuns.isNotEmpty()) failures[position] = row.failedRuns
+            if (row.failedRuns.count > 0) failures[position] = row.failedRuns
             if (row.checkpoint.isNotEmpty() && row.phase != TaskPhase.Done) checkpoints[position] = row.checkpoint
         }
         return JobProgress(state, completed, failures, checkpoints, started, abandoned)
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobTransitions.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobTransitions.kt
@@ -43,8 +43,8 @@
             progress.started[position]?.let { inherit(task, it, now) }
             progress.abandoned[position]?.let { tables.inheritAbandoned(task, it, now) }
             if (row.ended && task.active != null) tables.pendingStops[task.name] = StopReason.JobEnded
-            task.failedRuns = progress.failures[position].orEmpty()
-            task.lastRun = maxOf(task.lastRun, task.failedRuns.maxOrNull() ?: 0)
+            task.failedRuns = progress.failures[position] ?: FailedRuns()
+            task.lastRun = maxOf(task.lastRun, task.failedRuns.numbers.maxOrNull() ?: 0)
             task.checkpoint = progress.checkpoints[position].orEmpty()
         }
     }
@@ -107,6 +107,12 @@
         endJob(row, JobState.Cancelled, now, StopReason.Cancelled)
     }
 
+    /** Ends a job whose progress cannot be recorded. */
+    fun giveUp(row: JobRow, now: Instant) {
+        if (row.ended) return
+        endJob(row, JobState.Failed, now, StopReason.Unrecordable)
+    }
+
     private fun endJob(row: JobRow, state: JobState, now: Instant, reason: StopReason) {
         row.state = state
         row.endedAt = now
@@ -147,7 +153,7 @@
             task.failedRuns += run
             tables.changed += task.name.job
             val attempts = tables.configuration.queues[step.job.job.queue]?.attempts ?: Int.MAX_VALUE
-            if (task.failedRuns.size >= attempts) {
+            if (task.failedRuns.count >= attempts) {
                 endJob(step.job, JobState.Failed, now, StopReason.JobEnded)
                 return
             }
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ListingProcessor.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ListingProcessor.kt
@@ -119,7 +119,7 @@
     }
 
     private fun logEnd(executor: ExecutorRow, end: ListedEnd, task: TaskRow) {
-        val failures = "failed_before=${task.failedRuns.size}"
+        val failures = "failed_before=${task.failedRuns.count}"
         val text = "run ended ending=${end.ending} task=${end.task.text} run=${end.run} $failures"
         tables.events += SchedulerEvent(end.task.job, executor.identifier, text)
     }
@@ -141,7 +141,7 @@
         if (task.phase == TaskPhase.Done) return
         task.lastFailedOn = executor.identifier
         // A task that has failed before more likely has a fault itself than a faulty executor.
-        if (task.failedRuns.isEmpty()) recordExecutorFailure(executor, task, now)
+        if (task.failedRuns.count == 0) recordExecutorFailure(executor, task, now)
         transitions.countFailure(task, run, now)
         restartGang(task, now)
     }
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Order.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Order.kt
@@ -48,4 +48,19 @@
 }
 
 /** Reason for which a run is stopped. */
-public enum class StopReason { Cancelled, JobEnded, Duplicate, Unknown, Preempted, Moved, Stalled, GangRestart, StaleOrder }
+public enum class StopReason {
+    Cancelled,
+    JobEnded,
+    Duplicate,
+    Unknown,
+    Preempted,
+    Moved,
+    Stalled,
+    GangRestart,
+
+    /** The start had no answer and was meant for an earlier incarnation of the executor. */
+    StaleOrder,
+
+    /** The log does not take the progress of the job. */
+    Unrecordable,
+}
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
@@ -106,6 +106,14 @@
         tables.jobs[job]?.let { transitions.cancel(it, now) }
     }
 
+    /** Fails a job whose progress the log never takes, so that the other jobs go on. An unknown job is ignored. */
+    public fun giveUp(job: JobIdentifier, now: Instant) {
+        tables.jobs[job]?.let { transitions.giveUp(it, now) }
+    }
+
+    /** Returns a job, or `null` if it is not known. */
+    public fun job(identifier: JobIdentifier): Job? = tables.jobs[identifier]?.job
+
     /** Returns the state of a job, or `null` if it is not known. */
     public fun state(job: JobIdentifier): JobState? = tables.jobs[job]?.state
 
