Take no run for lost that a full list of ends lacks

Cause: an executor lists 500 ends at a time, and further ones only after an acknowledgement, which needs the store. A run in neither list counted as gone also if the list of ends was full. Such runs counted as stalled besides, which made the owner avoid a sound executor.

Change: the adapter marks a listing whose ends are not complete, and the scheduler concludes nothing from the absence of a run there: it waits for a list that is not full, while grants and acknowledgements go on. Only a run that the newest listing shows can count as stalled.

--- a/node/src/test/kotlin/dogwoodgrade/node/ProgressPartsTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/ProgressPartsTest.kt
@@ -153,7 +153,7 @@
         assertEquals(JobProgress(JobState.Cancelled), read())
     }
 
-    /** Guards against the log of a fleet that has halted because the progress of a job was about to outgrow a record. */
+    /** Guards against a fleet that stays halted after an upgrade, because the log has progress of nearly full size. */
     @Test
     fun `undivided progress of an earlier version is divided when it no longer fits`() {
         val job = job(listOf(3_000))
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Executor.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Executor.kt
@@ -63,12 +63,15 @@
  * State that an executor reports in one response.
  *
  * @property clock reading of the executor's steady clock
+ * @property endsComplete whether [ended] has all ends that are not acknowledged. A run that is neither in [running] nor
+ * in an incomplete list may have ended.
  */
 public data class ExecutorListing(
     public val incarnation: Long,
     public val clock: Duration,
     public val running: List<ListedRun>,
     public val ended: List<ListedEnd>,
+    public val endsComplete: Boolean = true,
 )
 
 /**
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobRows.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobRows.kt
@@ -24,6 +24,7 @@
  * @property confirmedAt time at which the executor confirmed the run, or `null` while the start is unanswered
  * @property confirmedBy incarnation that confirmed the run, or `null` if it is not known
  * @property stopAcceptance answer to a stop of the run, or `null` if there is none
+ * @property listedAt time of the newest listing that shows the run as running
  * @property percent last reported progress, or -1 before the first report
  * @property percentSince time at which [percent] last changed
  * @property measurement last reported value of [ListedRun.measurement]
@@ -40,6 +41,7 @@
     var confirmedAt: Instant? = null,
     var confirmedBy: Long? = null,
     var stopAcceptance: StopAcceptance? = null,
+    var listedAt: Instant? = null,
     var stopSentAt: Instant? = null,
     var stopReason: StopReason? = null,
     var checkpoint: String = "",
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ListingProcessor.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/ListingProcessor.kt
@@ -8,7 +8,7 @@
  *
  * A run that is missing from a listing is known not to exist only if the request was sent after the executor had
  * confirmed the run, if the deadline of its unanswered start has passed on the executor's clock, or if the executor had
- * accepted a stop of the run before.
+ * accepted a stop of the run before. It may have ended if the list of ends is incomplete.
  *
  * A restart ends the runs that an earlier incarnation has confirmed. Any other run may exist in the new incarnation:
  * orders name the executor only, so that the new incarnation executes those that were meant for the earlier one.
@@ -213,6 +213,7 @@
             active.percentSince = now
         }
         active.measurement = listedRun.measurement
+        active.listedAt = now
     }
 
     private fun stopUnexpectedRun(executor: ExecutorRow, listedRun: ListedRun, now: Instant) {
@@ -261,6 +262,8 @@
         return when {
             listedRuns[name] == run.run -> false
             run.phase == RunPhase.Planned -> false
+            // Its end may be among those that the list was too short for.
+            !listing.endsComplete -> false
             run.phase == RunPhase.Inherited -> true
             confirmedAt != null -> requestedAt > confirmedAt
             run.isStaleOrder(listing.incarnation) -> isStopped(run)
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/StopPlanner.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/StopPlanner.kt
@@ -82,10 +82,11 @@
         }
     }
 
-    /** Returns whether [run] has been without progress for some time, and a listing has shown that. */
+    /** Returns whether [run] has been without progress for some time, and the newest listing has shown that. */
     private fun mayHaveStalled(run: ActiveRun, listedAt: Instant, now: Instant): Boolean =
         run.phase == RunPhase.Running &&
             run.pace > 0 &&
+            run.listedAt == listedAt &&
             now - run.percentSince > minOf(policy.stallTimeout, WARM_UP_TIME_LIMIT) &&
             listedAt - run.percentSince >= policy.stallTimeout / 2
 
