Record the settings of its queue with a job

Cause: the number of attempts was looked up in the newest configuration only, and was unlimited where that has no such queue. The need of advice, the rank and the cap of a removed team were lost in the same way. The halt is that of a record that the store never takes, which the numbers of the failed runs fill.

With the expression used before, three of the seven RemovedQueueTest tests fail (20 starts, 9 and 20 instead of 3, 3 and 1).

Change: the settings of the queue are recorded with the job. Its attempts are those; its pool, rank and need of advice are the present ones while the queue exists. A job that an earlier version accepted takes the attempts from the configuration, and fails with its next failed run if its queue is gone. A job without attempts left fails when an owner loads it, so that a fleet recovers whose log has such a job. A removed team keeps its last cap.

Measured: RemovedQueueTest passes (7 tests).

--- a/node/src/main/kotlin/dogwoodgrade/node/CallerHandler.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/CallerHandler.kt
@@ -103,17 +103,18 @@
     ): JobApiReply {
         if (jobs[identifier] != null) return JobApiReply.Accepted
         val submission = readSubmission(request) ?: return JobApiReply.Malformed
-        val pool = current.scheduling.queues[route.queue]?.pool ?: return JobApiReply.NoSuchQueue
+        val queue = current.scheduling.queues[route.queue] ?: return JobApiReply.NoSuchQueue
         val job =
             Job(
                 identifier,
                 route.queue,
-                pool,
+                queue.pool,
                 team,
                 submission.payload,
                 submission.steps,
                 submission.repetition,
                 clock.wallTime(),
+                queue,
             )
         return when (intake.append(FleetRecords.jobKey(identifier), FleetRecords.encode(job), timeLimitOf(request))) {
             IntakeOutcome.Durable -> {
--- a/node/src/main/kotlin/dogwoodgrade/node/FleetRecordForms.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/FleetRecordForms.kt
@@ -7,6 +7,7 @@
 import dogwoodgrade.scheduling.Job
 import dogwoodgrade.scheduling.JobIdentifier
 import dogwoodgrade.scheduling.JobProgress
+import dogwoodgrade.scheduling.JobQueueSettings
 import dogwoodgrade.scheduling.JobState
 import dogwoodgrade.scheduling.Repetition
 import dogwoodgrade.scheduling.Resources
@@ -82,6 +83,7 @@
     @SerialName("a") val acceptedAt: Long,
     @SerialName("s") val steps: List<StepRecord>,
     @SerialName("r") val repetition: RepetitionRecord? = null,
+    @SerialName("u") val queueSettings: QueueRecord? = null,
 ) {
     fun toJob(identifier: JobIdentifier): Job {
         val decodedSteps = steps.map { it.toStep() }
@@ -89,7 +91,8 @@
         require(isWithinLimits(decodedSteps, decodedRepetition)) { "the job is beyond the limits" }
         require(acceptedAt in 0..LATEST_TIME) { "the time $acceptedAt is out of range" }
         val accepted = Instant.fromEpochMilliseconds(acceptedAt)
-        return Job(identifier, queue, pool, team, payload, decodedSteps, decodedRepetition, accepted)
+        val settings = queueSettings?.toSettings(queue, pool)
+        return Job(identifier, queue, pool, team, payload, decodedSteps, decodedRepetition, accepted, settings)
     }
 
     companion object {
@@ -104,6 +107,35 @@
                 job.repetition?.let {
                     RepetitionRecord(it.occurrences, it.start.toEpochMilliseconds(), it.interval.inWholeMilliseconds)
                 },
+                job.queueSettings?.let { QueueRecord.of(it) },
+            )
+    }
+}
+
+/** Settings of a job's queue when the job was accepted. */
+@Serializable
+internal data class QueueRecord(
+    @SerialName("n") val attempts: Int,
+    @SerialName("p") val priority: Int = 0,
+    @SerialName("s") val slackFactor: Double = 1.0,
+    @SerialName("t") val targetLatency: Long = 0,
+    @SerialName("a") val needsAdvice: Boolean = false,
+) {
+    fun toSettings(queue: String, pool: String): JobQueueSettings {
+        require(attempts >= 1) { "$attempts attempts" }
+        require(slackFactor.isFinite()) { "the slack factor $slackFactor is out of range" }
+        require(targetLatency in 0..LATEST_TIME) { "the target latency $targetLatency is out of range" }
+        return JobQueueSettings(queue, pool, priority, attempts, slackFactor, targetLatency.milliseconds, needsAdvice)
+    }
+
+    companion object {
+        fun of(settings: JobQueueSettings): QueueRecord =
+            QueueRecord(
+                settings.attempts,
+                settings.priority,
+                settings.slackFactor,
+                settings.targetLatency.inWholeMilliseconds,
+                settings.needsAdvice,
             )
     }
 }
--- a/node/src/test/kotlin/dogwoodgrade/node/TablesTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/TablesTest.kt
@@ -15,6 +15,7 @@
 import dogwoodgrade.scheduling.Job
 import dogwoodgrade.scheduling.JobIdentifier
 import dogwoodgrade.scheduling.JobProgress
+import dogwoodgrade.scheduling.JobQueueSettings
 import dogwoodgrade.scheduling.JobState
 import dogwoodgrade.scheduling.Repetition
 import dogwoodgrade.scheduling.Resources
@@ -47,7 +48,17 @@
             unavailabilityBudget = 1,
         )
     private val job =
-        Job(identifier, "queue", "pool", "team", "text", listOf(step), Repetition(2, now, 100.milliseconds), now)
+        Job(
+            identifier,
+            "queue",
+            "pool",
+            "team",
+            "text",
+            listOf(step),
+            Repetition(2, now, 100.milliseconds),
+            now,
+            JobQueueSettings("queue", "pool", 2, 4, 1.5, 500.milliseconds, true),
+        )
 
     private fun jobRecord(value: Job? = job) =
         KeyedRecord(FleetRecords.jobKey(identifier), value?.let { FleetRecords.encode(it) }, 0)
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetTables.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetTables.kt
@@ -33,8 +33,20 @@
 
     fun stepOf(name: TaskName): StepRow? = jobs[name.job]?.steps?.get(name.occurrence)?.getOrNull(name.step)
 
+    /**
+     * Returns the settings of the job's queue now, or those recorded with the job if the queue was removed. They are
+     * unknown if an earlier version of this program has accepted the job.
+     */
+    fun queueOf(job: Job): JobQueueSettings? = configuration.queues[job.queue] ?: job.queueSettings
+
     /** Returns the pool that serves the job's queue now, or the one recorded with the job if the queue was removed. */
-    fun poolOf(job: Job): String = configuration.queues[job.queue]?.pool ?: job.pool
+    fun poolOf(job: Job): String = queueOf(job)?.pool ?: job.pool
+
+    /**
+     * Returns the number of failed runs of one task after which [job] fails. It was promised when the job was accepted.
+     * If it is known neither from the job nor from the configuration, nothing permits another run after a failure.
+     */
+    fun attemptsOf(job: Job): Int = (job.queueSettings ?: configuration.queues[job.queue])?.attempts ?: 1
 
     /** Returns the executors of [pool]. */
     fun executorsOf(pool: String): Set<ExecutorRow> = executorsByPool[pool].orEmpty()
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetView.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/FleetView.kt
@@ -135,7 +135,7 @@
         val request = row.step.request
         val team = row.job.job.team
         val late =
-            rankOf(row, tables.configuration.queues[row.job.job.queue], false, now, wallTime).urgency == Urgency.Late
+            rankOf(row, tables.queueOf(row.job.job), false, now, wallTime).urgency == Urgency.Late
         var tasks = row.tasks.count { it.phase == TaskPhase.Ready }
         if (late) tasks = ceil(tasks * LATE_DEMAND_SHARE).toInt()
         repeat(tasks) {
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Job.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Job.kt
@@ -95,6 +95,7 @@
  * @property team customer that is charged for it, or `null` if the queue is open to all
  * @property payload opaque text that is passed to each of its tasks
  * @property acceptedAt wall-clock time at which an entry instance accepted it
+ * @property queueSettings settings that the queue had then, or `null` if an earlier version of this program accepted it
  */
 public data class Job(
     public val identifier: JobIdentifier,
@@ -105,6 +106,7 @@
     public val steps: List<Step>,
     public val repetition: Repetition?,
     public val acceptedAt: Instant,
+    public val queueSettings: JobQueueSettings? = null,
 ) {
     /** Number of times the steps run. */
     public val occurrences: Int
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobTransitions.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobTransitions.kt
@@ -26,6 +26,7 @@
         if (row.ended) row.endedAt = now
         createDueOccurrences(row, wallTime)
         progress?.let { restore(row, it, now) }
+        failIfExhausted(row, now)
         releaseSteps(row, now)
         completeIfDone(row, now)
     }
@@ -49,6 +50,15 @@
         }
     }
 
+    /** Fails a job of which a task has no attempts left; an earlier version of this program started it nevertheless. */
+    private fun failIfExhausted(row: JobRow, now: Instant) {
+        if (row.ended) return
+        val attempts = tables.attemptsOf(row.job)
+        if (row.allTasks().any { it.failedRuns.count >= attempts }) {
+            endJob(row, JobState.Failed, now, StopReason.JobEnded)
+        }
+    }
+
     /**
      * Takes over a run that an earlier owner started. It counts as existing until its executor has answered or every
      * grant of that owner has ended.
@@ -152,8 +162,7 @@
         if (!step.step.longRunning && run !in task.failedRuns) {
             task.failedRuns += run
             tables.changed += task.name.job
-            val attempts = tables.configuration.queues[step.job.job.queue]?.attempts ?: Int.MAX_VALUE
-            if (task.failedRuns.count >= attempts) {
+            if (task.failedRuns.count >= tables.attemptsOf(step.job.job)) {
                 endJob(step.job, JobState.Failed, now, StopReason.JobEnded)
                 return
             }
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Scheduler.kt
@@ -62,7 +62,9 @@
     /** Applies a configuration, unless its version is not newer than the current one. */
     public fun configure(configuration: SchedulingConfiguration) {
         if (configuration.version <= tables.configuration.version) return
-        tables.configuration = configuration
+        // Jobs of a team that was removed stay within its last cap.
+        val removedTeams = tables.configuration.teams - configuration.teams.keys
+        tables.configuration = configuration.copy(teams = removedTeams + configuration.teams)
         val steps = tables.readySteps.values.flatten()
         tables.readySteps.clear()
         steps.forEach { tables.markReady(it) }
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/StartPlanner.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/StartPlanner.kt
@@ -67,7 +67,7 @@
     }
 
     private fun rank(row: StepRow, inputs: PlanInputs): Rank {
-        val queue = tables.configuration.queues[row.job.job.queue]
+        val queue = tables.queueOf(row.job.job)
         return rankOf(
             row,
             queue,
@@ -78,7 +78,7 @@
     }
 
     private fun startStep(row: StepRow, executors: List<ExecutorRow>, inputs: PlanInputs) {
-        val needsTicket = tables.configuration.queues[row.job.job.queue]?.needsAdvice == true
+        val needsTicket = tables.queueOf(row.job.job)?.needsAdvice == true
         val context = PlacementContext(inputs.now, inputs.avoidedZones, needsTicket)
         if (needsTicket) requestAdvice(row, executors, inputs)
         val allowed = allowedExecutors(row, executors, context)
