Take an executor for ended only if its machine shows it

What callers saw: nothing that was traced to this. A task could run twice at a time (TWICE) if the list of machines lacked a machine with an open order, or showed it as down while its executor went on.

Cause: after an order for a machine without an answer, the executor counted as ended as soon as the list, which has pages of different ages, did not show it on a machine that is up.

Evidence: by reading.

Change: the order keeps its machine. The executor has ended if this machine shows another executor or none, or that it is moving or under maintenance.

--- a/capacity/src/main/kotlin/dogwoodgrade/capacity/OpenOrder.kt
+++ b/capacity/src/main/kotlin/dogwoodgrade/capacity/OpenOrder.kt
@@ -1,5 +1,6 @@
 package dogwoodgrade.capacity
 
+import dogwoodgrade.scheduling.ExecutorIdentifier
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
@@ -10,10 +11,12 @@
 /**
  * An order that ends the executor of a machine, a move or a maintenance.
  *
+ * @property machine name of the machine
  * @property confirmed whether the platform has confirmed it. It also confirms an order that was executed before, by an
  * earlier owner whose record of it was lost; the executor that runs now goes on then.
  */
 public data class OpenOrder(
+    public val machine: String,
     public val orderedAt: Instant,
     public val confirmed: Boolean,
 )
@@ -31,13 +34,23 @@
 }
 
 /**
- * Returns what is known of [order].
+ * Returns what is known of [order], which ends [executor].
  *
- * @param listed whether the list of machines, read after the order, shows the executor on a machine that is up
+ * @param machine the machine in a list that was read after the order, or `null` if the list lacks it, which proves
+ * nothing: the pages of a list are read one after the other
  */
-public fun settlementOf(order: OpenOrder, listed: Boolean, now: Instant): OrderSettlement =
+public fun settlementOf(
+    order: OpenOrder,
+    executor: ExecutorIdentifier,
+    machine: Machine?,
+    now: Instant,
+): OrderSettlement =
     when {
-        !listed -> OrderSettlement.Ended
+        machine != null && hasEnded(executor, machine) -> OrderSettlement.Ended
         order.confirmed && now - order.orderedAt >= EFFECT_TIME -> OrderSettlement.WithoutEffect
         else -> OrderSettlement.Open
     }
+
+/** Returns whether [machine] shows that [executor] has ended on it. A machine that is down may be cut off only. */
+private fun hasEnded(executor: ExecutorIdentifier, machine: Machine): Boolean =
+    machine.executor != executor || machine.state == MachineState.Moving || machine.state == MachineState.Maintenance
--- a/node/src/main/kotlin/dogwoodgrade/node/MachineLoop.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/MachineLoop.kt
@@ -105,9 +105,8 @@
     /** Removes the executors that orders have ended, and gives back those that a confirmed order has not ended. */
     private fun settleOrders(machines: Map<String, Machine>) {
         val now = clock.now()
-        val listed = machines.values.filter { it.state == MachineState.Up }.mapNotNullTo(mutableSetOf()) { it.executor }
         for ((executor, order) in openOrders.toMap()) {
-            when (settlementOf(order, executor in listed, now)) {
+            when (settlementOf(order, executor, machines[order.machine], now)) {
                 OrderSettlement.Open -> Unit
                 OrderSettlement.Ended -> {
                     openOrders -= executor
@@ -202,7 +201,7 @@
         progress[wave] =
             when (outcome) {
                 MachineOutcome.Done -> {
-                    machine.executor?.let { openOrders[it] = OpenOrder(orderedAt, confirmed = true) }
+                    machine.executor?.let { openOrders[it] = OpenOrder(machine.name, orderedAt, confirmed = true) }
                     val done = current.maintained + machine.name
                     appendRecord(MaintainedMachines.key(wave), MaintainedMachines.encode(done))
                     current.copy(maintained = done, orders = current.orders + confirmedOrder(machine, orderedAt))
@@ -288,9 +287,12 @@
         when (outcome) {
             MachineOutcome.Done -> {
                 recentMoves[machine.name] = clock.now()
-                executor?.let { openOrders[it] = OpenOrder(clock.now(), confirmed = true) }
+                executor?.let { openOrders[it] = OpenOrder(machine.name, clock.now(), confirmed = true) }
+            }
+            is MachineOutcome.Unknown -> executor?.let {
+                openOrders[it] =
+                    OpenOrder(machine.name, clock.now(), confirmed = false)
             }
-            is MachineOutcome.Unknown -> executor?.let { openOrders[it] = OpenOrder(clock.now(), confirmed = false) }
             else -> Unit
         }
     }
