--- a/node/src/main/kotlin/dogwoodgrade/node/JobIntake.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/JobIntake.kt
@@ -90,8 +90,10 @@
         while (true) {
             val batch = mutableListOf(queue.receive())
             while (batch.size < MAX_RECORDS_PER_APPEND) batch += queue.tryReceive().getOrNull() ?: break
-            val current = batch.filter { it.send() }
-            store.limits.splitIntoCalls(current) { it.key to it.value }.forEach { appendBatch(it) }
+            for (call in store.limits.splitIntoCalls(batch) { it.key to it.value }) {
+                val current = call.filter { it.send() }
+                if (current.isNotEmpty()) appendBatch(current)
+            }
         }
     }
 
--- a/scheduling/src/test/kotlin/dogwoodgrade/scheduling/IncompleteEndsTest.kt
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/IncompleteEndsTest.kt
@@ -12,17 +12,7 @@
     private var now = Instant.fromEpochMilliseconds(1_000_000_000)
     private var runs = 0L
     private val forever = now + 1000.seconds
-    private val report =
-        ExecutorReport(
-            ExecutorIdentifier("x"),
-            1,
-            "pool",
-            "10.0.0.1:80",
-            "zone-a",
-            false,
-            Resources(16_000, 64_000),
-            listOf("kind", "rack-1"),
-        )
+    private val report = sampleReport("x")
     private val scheduler = Scheduler(SchedulingPolicy()) { ++runs }
     private val events = mutableListOf<SchedulerEvent>()
     private val stops = mutableListOf<Order.Stop>()
--- a/scheduling/src/test/kotlin/dogwoodgrade/scheduling/RemovedQueueTest.kt
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/RemovedQueueTest.kt
@@ -13,17 +13,7 @@
     private var runs = 0L
     private var ends = 0L
     private val forever = now + 1000.seconds
-    private val report =
-        ExecutorReport(
-            ExecutorIdentifier("x"),
-            1,
-            "pool",
-            "10.0.0.1:80",
-            "zone-a",
-            false,
-            Resources(16_000, 64_000),
-            listOf("kind", "rack-1"),
-        )
+    private val report = sampleReport("x")
     private val configuration = onePoolConfiguration(attempts = 3, cap = 4_000)
     private val queue = configuration.queues.getValue("queue")
     private val job = JobIdentifier("a")
--- a/scheduling/src/test/kotlin/dogwoodgrade/scheduling/RestartedExecutorTest.kt
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/RestartedExecutorTest.kt
@@ -16,25 +16,13 @@
     private var runs = 0L
     private val forever = now + 1000.seconds
     private val policy = SchedulingPolicy()
-    private val before = report("x", incarnation = 1)
+    private val before = sampleReport("x")
     private val after = before.copy(incarnation = 2)
-    private val other = report("y", incarnation = 1)
+    private val other = sampleReport("y")
     private val scheduler = scheduler()
     private val job = JobIdentifier("a")
     private val task = TaskName(job, 0, 0, 0)
 
-    private fun report(name: String, incarnation: Long) =
-        ExecutorReport(
-            ExecutorIdentifier(name),
-            incarnation,
-            "pool",
-            "10.0.0.1:80",
-            "zone-$name",
-            false,
-            Resources(16_000, 64_000),
-            listOf("kind", "rack-1"),
-        )
-
     private fun scheduler(): Scheduler {
         val scheduler = Scheduler(policy) { ++runs }
         scheduler.configure(onePoolConfiguration(attempts = 3))
