Count a suspension against the lease of an owner

Cause: a lease was counted from the sending of the confirmed append on the monotonic clock, which stands still while the machine is suspended. If the answer to a renewal arrived after a suspension, it restored the lease that the suspension had taken away, and until the suspension was noticed the lease was too long as well. Grants to executors that only this owner reached were extended beyond the time for which the next owner waits.

Change: a lease keeps the readings of both clocks at the sending, and what the time of day has advanced beyond the monotonic clock shortens it. An append that was sent before the lease was invalidated does not renew it.

--- a/node/src/main/kotlin/dogwoodgrade/node/ExecutorWatcher.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/ExecutorWatcher.kt
@@ -60,9 +60,11 @@
     /** Watches until the scheduler no longer knows the executor. */
     suspend fun run() {
         while (true) {
-            val sentAt = clock.now()
+            val reading = clock.reading()
+            val sentAt = reading.monotonic
             val request =
-                fleet.withSchedule { it.grantRequest(identifier, grant, ownership.grantsUntil(), sentAt) } ?: return
+                fleet.withSchedule { it.grantRequest(identifier, grant, ownership.grantsUntil(reading), sentAt) }
+                    ?: return
             fleet.withSchedule { it.recordRequest(identifier, sentAt) }
             val outcome = client.list(request.report, request.deadline, request.durableEnd, waitOf(request), epoch)
             val now = clock.now()
--- a/node/src/main/kotlin/dogwoodgrade/node/MachineLoop.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/MachineLoop.kt
@@ -191,7 +191,7 @@
     }
 
     /** Returns the time for which this process may still give orders. */
-    private fun remainingOrderTime(): Duration = node.ownership.ordersUntil() - clock.now()
+    private fun remainingOrderTime(): Duration = clock.reading().let { node.ownership.ordersUntil(it) - it.monotonic }
 
     private suspend fun orderMaintenance(client: MachinesClient, wave: Long, machine: Machine, within: Duration) {
         val orderedAt = clock.now()
--- a/node/src/main/kotlin/dogwoodgrade/node/Node.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/Node.kt
@@ -2,6 +2,7 @@
 
 import dogwoodgrade.ownership.Candidate
 import dogwoodgrade.ownership.CandidateDecision
+import dogwoodgrade.ownership.ClockReading
 import dogwoodgrade.ownership.HandoverRequest
 import dogwoodgrade.ownership.Lease
 import dogwoodgrade.ownership.OwnershipPolicy
@@ -191,7 +192,7 @@
         // Candidates share the producer and may claim the same epoch. With equal sequence numbers, the store would take
         // the second claim for a repetition of the first and confirm both.
         val sequence = Random.nextLong(1, LARGEST_CLAIM_SEQUENCE)
-        val sentAt = clock.now()
+        val sentAt = clock.reading()
         val outcome =
             components.store.append(
                 Topic.Progress,
@@ -203,9 +204,9 @@
         if (outcome is AppendOutcome.Appended) runSession(record, sentAt, sequence)
     }
 
-    private suspend fun runSession(record: OwnershipRecord, claimedAt: Instant, sequence: Long) {
+    private suspend fun runSession(record: OwnershipRecord, claimedAt: ClockReading, sequence: Long) {
         val first = record.epoch == 1L
-        val settledAt = if (first) claimedAt else grantsSettledAt(clock.now(), policy)
+        val settledAt = if (first) claimedAt.monotonic else grantsSettledAt(clock.now(), policy)
         val term = OwnerSession(components, settings, record, policy, settledAt, sequence)
         components.ownership.updateLease(Lease(record.epoch, claimedAt))
         session = term
--- a/node/src/main/kotlin/dogwoodgrade/node/NodeClock.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/NodeClock.kt
@@ -1,5 +1,6 @@
 package dogwoodgrade.node
 
+import dogwoodgrade.ownership.ClockReading
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -23,6 +24,12 @@
     /** Returns the monotonic time. */
     fun now(): Instant = startedAt + mark.elapsedNow()
 
+    /** Returns both times. A suspension between the two readings shows in the second one. */
+    fun reading(): ClockReading {
+        val monotonic = now()
+        return ClockReading(monotonic, wallTime())
+    }
+
     /** Returns the time of day. */
     fun wallTime(): Instant = Clock.System.now()
 
--- a/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
@@ -245,7 +245,7 @@
         val grant = minOf(GRANT_DURATION, settings.longestGrant)
         val watcher =
             ExecutorWatcher(identifier, executors, fleet, node.ownership, record.epoch, grant, clock, { changed() }) {
-                node.ownership.invalidateLease()
+                node.ownership.invalidateLease(clock.now())
             }
         scope.launch {
             watcher.run()
@@ -283,10 +283,11 @@
             withTimeoutOrNull(LONGEST_PLAN_PAUSE) { planSignal.receive() }
             if (clock.wasSuspended()) {
                 logger.warn { "owner: suspended, no orders before the next renewal epoch=${record.epoch}" }
-                node.ownership.invalidateLease()
+                node.ownership.invalidateLease(clock.now())
                 writer.notifyChanged()
             }
-            val startedAt = clock.now()
+            val reading = clock.reading()
+            val startedAt = reading.monotonic
             val evacuated = node.configuration.evacuatedZones()
             val plan =
                 fleet.withSchedule { schedule ->
@@ -294,7 +295,7 @@
                     schedule.plan(
                         startedAt,
                         clock.wallTime(),
-                        node.ownership.ordersUntil(),
+                        node.ownership.ordersUntil(reading),
                         evacuated,
                         workers.unsentStarts,
                     )
--- a/node/src/main/kotlin/dogwoodgrade/node/OwnerWriter.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnerWriter.kt
@@ -145,7 +145,7 @@
             appended = appendValid(call, failedJobs) ?: return false
         }
         val durable = checkNotNull(appended) { "an append has at least one record" }
-        if (renew) renewedAt = durable.sentAt
+        if (renew) renewedAt = durable.sentAt.monotonic
         if (batch != null) {
             changes.forEach { if (it.job !in failedJobs) jobs.applyProgress(it, durable.endOffset - 1) }
             failedJobs.forEach { jobs.applyProgress(failedJobRecord(it), durable.endOffset - 1) }
@@ -222,8 +222,10 @@
     private fun ownRecord(isLast: Boolean): OwnershipRecord =
         if (isLast) record.copy(resigned = true, successor = successor) else record
 
-    private fun startsAfter(batch: ProgressBatch): List<Order.Start> =
-        fleet.withSchedule { it.confirmDurable(batch, ownership.ordersUntil(), clock.now()) }
+    private fun startsAfter(batch: ProgressBatch): List<Order.Start> {
+        val now = clock.reading()
+        return fleet.withSchedule { it.confirmDurable(batch, ownership.ordersUntil(now), now.monotonic) }
+    }
 
     /** Appends [records] in one call until the outcome is known. */
     private suspend fun appendUntilKnown(records: List<ProgressTopicRecord>): KnownOutcome {
--- a/node/src/main/kotlin/dogwoodgrade/node/OwnershipTable.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnershipTable.kt
@@ -1,5 +1,6 @@
 package dogwoodgrade.node
 
+import dogwoodgrade.ownership.ClockReading
 import dogwoodgrade.ownership.HandoverRequest
 import dogwoodgrade.ownership.Lease
 import dogwoodgrade.ownership.OwnershipPolicy
@@ -29,6 +30,9 @@
     private var summarizedEpoch: Long? = null
     private var lease: Lease? = null
 
+    /** Time from which on an append has to be sent to renew the lease. */
+    private var renewableFrom = Instant.DISTANT_PAST
+
     /** Applies records of the progress topic. Each one is a sign of life of the owner: lower epochs cannot append. */
     @Synchronized
     fun applyRecords(followed: FollowedRecords, now: Instant) {
@@ -107,13 +111,18 @@
     @Synchronized
     fun readTo(): Long = nextOffset ?: 0
 
-    /** Sets the lease of this process to [lease], unless the current one of the same epoch was confirmed later. */
+    /**
+     * Sets the lease of this process to [lease], unless the current one of the same epoch was confirmed later, or the
+     * confirmed append was sent before the lease was invalidated.
+     */
     @Synchronized
     fun updateLease(lease: Lease) {
+        val sentAt = lease.confirmedAt.monotonic
+        if (sentAt < renewableFrom) return
         val current = this.lease
         if (current == null ||
             lease.epoch != current.epoch ||
-            lease.confirmedAt > current.confirmedAt
+            sentAt > current.confirmedAt.monotonic
         ) {
             this.lease = lease
         }
@@ -125,23 +134,22 @@
         lease = null
     }
 
-    /** Invalidates the lease until the next confirmed append, for example after a suspension. */
+    /** Invalidates the lease until an append is confirmed that is sent after [now], for example after a suspension. */
     @Synchronized
-    fun invalidateLease() {
-        lease = lease?.copy(confirmedAt = Instant.DISTANT_PAST)
+    fun invalidateLease(now: Instant) {
+        renewableFrom = now
+        lease = null
     }
 
     /** Returns the time at which this process has to stop sending orders. */
     @Synchronized
-    fun ordersUntil(): Instant = confirmedLease()?.ordersUntil(policy) ?: Instant.DISTANT_PAST
+    fun ordersUntil(now: ClockReading): Instant = lease?.ordersUntil(policy, now) ?: Instant.DISTANT_PAST
 
     /** Returns the latest time at which a grant of this process may end. */
     @Synchronized
-    fun grantsUntil(): Instant = confirmedLease()?.grantsUntil(policy) ?: Instant.DISTANT_PAST
+    fun grantsUntil(now: ClockReading): Instant = lease?.grantsUntil(policy, now) ?: Instant.DISTANT_PAST
 
     /** Returns when the newest confirmed append of this process was sent, or `null` if it holds no lease. */
     @Synchronized
-    fun confirmedAt(): Instant? = confirmedLease()?.confirmedAt
-
-    private fun confirmedLease(): Lease? = lease?.takeIf { it.confirmedAt != Instant.DISTANT_PAST }
+    fun confirmedAt(): Instant? = lease?.confirmedAt?.monotonic
 }
--- a/node/src/main/kotlin/dogwoodgrade/node/RepeatedAppend.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/RepeatedAppend.kt
@@ -1,5 +1,6 @@
 package dogwoodgrade.node
 
+import dogwoodgrade.ownership.ClockReading
 import dogwoodgrade.platform.AppendOutcome
 import dogwoodgrade.platform.Producer
 import dogwoodgrade.platform.StoreClient
@@ -25,7 +26,7 @@
      * @property endOffset end offset of the topic after the records
      */
     data class Durable(
-        val sentAt: Instant,
+        val sentAt: ClockReading,
         val endOffset: Long,
     ) : KnownOutcome
 
@@ -62,14 +63,14 @@
         producer: Producer,
         onFailure: (AppendOutcome, Instant) -> Unit = { _, _ -> },
     ): KnownOutcome {
-        var uncertainSince: Instant? = null
+        var uncertainSince: ClockReading? = null
         var refused = 0
         var attempts = 0
         while (true) {
-            val sentAt = clock.now()
+            val sentAt = clock.reading()
             val timeout = ATTEMPT_TIMEOUTS[minOf(attempts++, ATTEMPT_TIMEOUTS.lastIndex)]
             val outcome = store.append(topic, records, producer, timeout = timeout)
-            storeAvailability.recordCall(outcome.answered, sentAt, clock.now())
+            storeAvailability.recordCall(outcome.answered, sentAt.monotonic, clock.now())
             when (outcome) {
                 is AppendOutcome.Appended -> return KnownOutcome.Durable(uncertainSince ?: sentAt, outcome.endOffset)
                 AppendOutcome.Fenced -> return KnownOutcome.Fenced
@@ -78,7 +79,7 @@
                 is AppendOutcome.NotAppended -> refused++
                 is AppendOutcome.EndMoved -> error("append without an expected end offset was $outcome")
             }
-            onFailure(outcome, sentAt)
+            onFailure(outcome, sentAt.monotonic)
             if (outcome is AppendOutcome.Invalid) return KnownOutcome.Invalid(outcome.reason)
             if (uncertainSince == null && refused >= maximumRefusals) return KnownOutcome.Refused(outcome)
             delay(pause)
--- a/node/src/test/kotlin/dogwoodgrade/node/TablesTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/TablesTest.kt
@@ -1,6 +1,7 @@
 package dogwoodgrade.node
 
 import dogwoodgrade.capacity.MaintenanceWave
+import dogwoodgrade.ownership.ClockReading
 import dogwoodgrade.ownership.HandoverRequest
 import dogwoodgrade.ownership.Lease
 import dogwoodgrade.ownership.OwnershipPolicy
@@ -263,13 +264,39 @@
     @Test
     fun `a suspension takes the lease away until a write is confirmed`() {
         val table = OwnershipTable(OwnershipPolicy())
-        table.updateLease(Lease(1, now))
-        assertTrue(table.ordersUntil() > now)
-        table.invalidateLease()
-        assertEquals(Instant.DISTANT_PAST, table.ordersUntil())
-        assertEquals(Instant.DISTANT_PAST, table.grantsUntil())
-        table.updateLease(Lease(1, now + 1.seconds))
-        assertTrue(table.ordersUntil() > now)
+        val start = ClockReading(now, now)
+        table.updateLease(Lease(1, start))
+        assertTrue(table.ordersUntil(start) > now)
+        table.invalidateLease(now + 100.milliseconds)
+        assertEquals(Instant.DISTANT_PAST, table.ordersUntil(start))
+        assertEquals(Instant.DISTANT_PAST, table.grantsUntil(start))
+        val later = ClockReading(now + 1.seconds, now + 1.seconds)
+        table.updateLease(Lease(1, later))
+        assertTrue(table.ordersUntil(later) > later.monotonic)
+    }
+
+    /** Guards against an owner that goes on after a suspension because the answer to its renewal arrives then. */
+    @Test
+    fun `an append that was sent before a suspension does not restore the lease`() {
+        val table = OwnershipTable(OwnershipPolicy())
+        val sent = ClockReading(now, now)
+        table.updateLease(Lease(1, sent))
+        table.invalidateLease(now + 60.milliseconds)
+        table.updateLease(Lease(1, ClockReading(now + 50.milliseconds, now + 50.milliseconds)))
+        assertEquals(Instant.DISTANT_PAST, table.grantsUntil(sent))
+    }
+
+    /** Guards against grants that are extended after a suspension, before it is noticed. */
+    @Test
+    fun `a lease ends with the time of day if the monotonic clock stood still`() {
+        val policy = OwnershipPolicy()
+        val table = OwnershipTable(policy)
+        table.updateLease(Lease(1, ClockReading(now, now)))
+        val resumed = ClockReading(now + 100.milliseconds, now + 100.milliseconds + 4.seconds)
+        assertTrue(table.ordersUntil(resumed) < resumed.monotonic)
+        assertEquals(now + policy.maximumGrantDuration - 4.seconds, table.grantsUntil(resumed))
+        val setBack = ClockReading(now + 100.milliseconds, now - 4.seconds)
+        assertEquals(now + policy.maximumGrantDuration, table.grantsUntil(setBack))
     }
 
     @Test
--- a/ownership/src/main/kotlin/dogwoodgrade/ownership/Ownership.kt
+++ b/ownership/src/main/kotlin/dogwoodgrade/ownership/Ownership.kt
@@ -138,21 +138,40 @@
     return policy.maximumClaimDelay * step / steps
 }
 
+/**
+ * Readings of the monotonic clock and of the time of day at one moment. The monotonic clock does not advance while the
+ * machine is suspended.
+ */
+public data class ClockReading(
+    public val monotonic: Instant,
+    public val timeOfDay: Instant,
+)
+
 /**
  * The lease of an owner, extended by each confirmed write.
  *
+ * It is measured on the monotonic clock. What the time of day has advanced beyond that counts as well: the machine was
+ * suspended, perhaps while the confirmation was on its way.
+ *
  * @property epoch epoch of the owner
  * @property confirmedAt time at which the newest confirmed write was sent
  */
 public data class Lease(
     public val epoch: Long,
-    public val confirmedAt: Instant,
+    public val confirmedAt: ClockReading,
 ) {
-    /** Returns the time from which the owner must not give orders. */
-    public fun ordersUntil(policy: OwnershipPolicy): Instant = confirmedAt + policy.orderDuration
+    /** Returns the time on the monotonic clock from which the owner must not give orders. */
+    public fun ordersUntil(policy: OwnershipPolicy, now: ClockReading): Instant =
+        confirmedAt.monotonic + policy.orderDuration - suspension(now)
+
+    /** Returns the latest time on the monotonic clock at which a grant of the owner may end. */
+    public fun grantsUntil(policy: OwnershipPolicy, now: ClockReading): Instant =
+        confirmedAt.monotonic + policy.maximumGrantDuration - suspension(now)
 
-    /** Returns the latest time at which a grant of the owner may end. */
-    public fun grantsUntil(policy: OwnershipPolicy): Instant = confirmedAt + policy.maximumGrantDuration
+    private fun suspension(now: ClockReading): Duration {
+        val elapsed = now.monotonic - confirmedAt.monotonic
+        return (now.timeOfDay - confirmedAt.timeOfDay - elapsed).coerceAtLeast(Duration.ZERO)
+    }
 }
 
 /**
--- a/ownership/src/test/kotlin/dogwoodgrade/ownership/OwnershipTest.kt
+++ b/ownership/src/test/kotlin/dogwoodgrade/ownership/OwnershipTest.kt
@@ -131,9 +131,20 @@
 
     @Test
     fun `an owner stops giving orders before another one may take over`() {
-        val lease = Lease(1, now)
-        assertTrue(lease.ordersUntil(policy) < now + policy.ownerTimeout)
-        assertTrue(grantsSettledAt(now, policy) > lease.grantsUntil(policy))
+        val reading = ClockReading(now, now)
+        val lease = Lease(1, reading)
+        assertTrue(lease.ordersUntil(policy, reading) < now + policy.ownerTimeout)
+        assertTrue(grantsSettledAt(now, policy) > lease.grantsUntil(policy, reading))
+    }
+
+    /** Guards against an owner that is suspended, and measures its lease by a clock that stood still. */
+    @Test
+    fun `a suspended owner's lease ends no later than it would have without the suspension`() {
+        val lease = Lease(1, ClockReading(now, now))
+        val suspension = 4.seconds
+        val resumed = ClockReading(now + 1.seconds, now + 1.seconds + suspension)
+        val grantsLeft = lease.grantsUntil(policy, resumed) - resumed.monotonic
+        assertTrue(resumed.timeOfDay + grantsLeft < grantsSettledAt(now, policy))
     }
 
     @Test
