Keep the splitting of refused appends in one place

Cause: three writers each had their own way to append records apart that the store does not take together: one in halves, two one by one. The incarnation of a start's outcome was taken out of its cases by a function of its own, an open order was built in three places, and each new job was searched for failed runs that only a recorded one can have.

Change: appendInHalves serves the owner's writer, the summary and the intake. StartOutcome has the incarnation. MachineLoop records open orders in one function. Only jobs with recorded progress are searched.

Measured: LargeJobPathTest, NodePathTest, AnswerAgeTest, SimulatedDayTest and the tests of the tables and of the scheduler pass.

--- a/node/src/main/kotlin/dogwoodgrade/node/JobIntake.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/JobIntake.kt
@@ -98,28 +98,28 @@
     }
 
     private suspend fun appendBatch(batch: List<IntakeItem>) {
-        val records = batch.map { it.key to it.value }
-        val outcome =
-            when (val appendOutcome = appends.append(Topic.Jobs, records, Producer(producer, 1, sequence + 1))) {
-                is KnownOutcome.Durable -> {
-                    sequence++
-                    IntakeOutcome.Durable
-                }
-                is KnownOutcome.Invalid -> {
-                    logger.warn { "intake: records not taken records=${batch.size} reason=${appendOutcome.reason}" }
-                    if (batch.size > 1) {
-                        // The other callers are not refused because of one record.
-                        batch.forEach { appendBatch(listOf(it)) }
-                        return
-                    }
-                    IntakeOutcome.TooLarge
-                }
-                is KnownOutcome.Refused -> {
-                    logger.warn { "intake: append refused records=${batch.size} outcome=${appendOutcome.last}" }
-                    IntakeOutcome.NotDone
-                }
-                KnownOutcome.Fenced -> error("append of the only writer of producer $producer was $appendOutcome")
+        appendInHalves(batch, ::appendUntilKnown) { items, outcome ->
+            val answer = answerTo(outcome)
+            if (answer != IntakeOutcome.Durable) {
+                logger.warn { "intake: append refused records=${items.size} outcome=$outcome" }
             }
-        batch.forEach { it.outcome.complete(outcome) }
+            items.forEach { it.outcome.complete(answer) }
+            true
+        }
     }
+
+    private suspend fun appendUntilKnown(batch: List<IntakeItem>): KnownOutcome {
+        val records = batch.map { it.key to it.value }
+        val outcome = appends.append(Topic.Jobs, records, Producer(producer, 1, sequence + 1))
+        if (outcome is KnownOutcome.Durable) sequence++
+        return outcome
+    }
+
+    private fun answerTo(outcome: KnownOutcome): IntakeOutcome =
+        when (outcome) {
+            is KnownOutcome.Durable -> IntakeOutcome.Durable
+            is KnownOutcome.Invalid -> IntakeOutcome.TooLarge
+            is KnownOutcome.Refused -> IntakeOutcome.NotDone
+            KnownOutcome.Fenced -> error("append of the only writer of producer $producer was $outcome")
+        }
 }
--- a/node/src/main/kotlin/dogwoodgrade/node/MachineLoop.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/MachineLoop.kt
@@ -201,7 +201,7 @@
         progress[wave] =
             when (outcome) {
                 MachineOutcome.Done -> {
-                    machine.executor?.let { openOrders[it] = OpenOrder(machine.name, orderedAt, confirmed = true) }
+                    recordOpenOrder(machine, orderedAt, confirmed = true)
                     val done = current.maintained + machine.name
                     appendRecord(MaintainedMachines.key(wave), MaintainedMachines.encode(done))
                     current.copy(maintained = done, orders = current.orders + confirmedOrder(machine, orderedAt))
@@ -279,7 +279,6 @@
 
     private fun handleMoveOutcome(move: MachineMove, outcome: MachineOutcome, wanted: Map<String, Int>) {
         val machine = move.machine
-        val executor = machine.executor
         logger.info {
             "machines: move machine=${machine.name} from=${machine.pool} to=${move.pool} epoch=$epoch " +
                 "wanted=${wanted[move.pool]} outcome=$outcome"
@@ -287,16 +286,17 @@
         when (outcome) {
             MachineOutcome.Done -> {
                 recentMoves[machine.name] = clock.now()
-                executor?.let { openOrders[it] = OpenOrder(machine.name, clock.now(), confirmed = true) }
-            }
-            is MachineOutcome.Unknown -> executor?.let {
-                openOrders[it] =
-                    OpenOrder(machine.name, clock.now(), confirmed = false)
+                recordOpenOrder(machine, clock.now(), confirmed = true)
             }
+            is MachineOutcome.Unknown -> recordOpenOrder(machine, clock.now(), confirmed = false)
             else -> Unit
         }
     }
 
+    private fun recordOpenOrder(machine: Machine, at: Instant, confirmed: Boolean) {
+        machine.executor?.let { openOrders[it] = OpenOrder(machine.name, at, confirmed) }
+    }
+
     private fun confirmedOrder(machine: Machine, at: Instant): Pair<String, MaintenanceOrder> =
         machine.name to MaintenanceOrder(machine.name, at, true)
 
--- a/node/src/main/kotlin/dogwoodgrade/node/OrderWorkers.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OrderWorkers.kt
@@ -109,21 +109,13 @@
         metrics.ordered("start", text)
         logger.info {
             "orders: start task=${order.task.text} run=${order.run} executor=${order.executor} outcome=$text " +
-                "incarnation=${incarnationOf(outcome)}"
+                "incarnation=${outcome.incarnation}"
         }
         fleet.withSchedule { it.processStartOutcome(order, outcome, clock.now()) }
         onChange(order.executor)
     }
 }
 
-/** Returns the incarnation that answered a start, or `null` if it is not known. */
-private fun incarnationOf(outcome: StartOutcome): Long? =
-    when (outcome) {
-        is StartOutcome.Started -> outcome.incarnation
-        is StartOutcome.Rejected -> outcome.incarnation
-        StartOutcome.Unknown -> null
-    }
-
 /** An order with the executor that it goes to, and the time at which it was queued. */
 private data class QueuedOrder(
     val executor: ExecutorReport,
--- a/node/src/main/kotlin/dogwoodgrade/node/OwnerWriter.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnerWriter.kt
@@ -142,7 +142,18 @@
         val failedJobs = mutableSetOf<JobIdentifier>()
         var appended: KnownOutcome.Durable? = null
         for (call in limits.splitIntoCalls(records) { it.key to it.value }) {
-            appended = appendValid(call, failedJobs) ?: return false
+            val owned =
+                appendInHalves(call, ::appendUntilKnown) { items, outcome ->
+                    val known =
+                        if (outcome is KnownOutcome.Invalid) {
+                            appendInstead(items.single(), outcome.reason, failedJobs)
+                        } else {
+                            outcome
+                        }
+                    appended = known as? KnownOutcome.Durable
+                    appended != null
+                }
+            if (!owned) return false
         }
         val durable = checkNotNull(appended) { "an append has at least one record" }
         if (renew) renewedAt = durable.sentAt.monotonic
@@ -165,31 +176,12 @@
         }
     }
 
-    /**
-     * Appends [records], or returns `null` if another owner has taken over.
-     *
-     * If the store does not take some of them, the others are appended without these. A job whose record is at fault
-     * fails, so that it does not keep all others from becoming durable; it is added to [failedJobs].
-     */
-    private suspend fun appendValid(
-        records: List<ProgressTopicRecord>,
-        failedJobs: MutableSet<JobIdentifier>,
-    ): KnownOutcome.Durable? {
-        val outcome = appendUntilKnown(records)
-        return when {
-            outcome is KnownOutcome.Durable -> outcome
-            outcome !is KnownOutcome.Invalid -> null
-            records.size > 1 -> {
-                val (first, second) = records.chunked((records.size + 1) / 2)
-                appendValid(first, failedJobs)?.let { appendValid(second, failedJobs) }
-            }
-            else -> appendInstead(records.single(), outcome.reason, failedJobs)
-        }
-    }
-
     /**
      * Replaces a [record] that the store does not take: the failure of its job, or else the record of the owner. It is
-     * at fault only if the store takes the replacement.
+     * at fault only if the store takes the replacement; a job whose record is at fault fails, and is added to
+     * [failedJobs].
+     *
+     * @return the confirmed replacement, or `null` if another owner has taken over
      */
     private suspend fun appendInstead(
         record: ProgressTopicRecord,
--- a/node/src/main/kotlin/dogwoodgrade/node/RepeatedAppend.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/RepeatedAppend.kt
@@ -86,3 +86,20 @@
         }
     }
 }
+
+/**
+ * Appends [items] with [append]. Those that the store does not take together are appended in halves, so that one that is
+ * at fault does not keep the others from becoming durable. Each outcome is passed to [settle] with its items: one item
+ * if the store does not take it.
+ *
+ * @return whether [settle] has returned `true` for all; what follows one for which it did not is left out
+ */
+internal suspend fun <T> appendInHalves(
+    items: List<T>,
+    append: suspend (List<T>) -> KnownOutcome,
+    settle: suspend (List<T>, KnownOutcome) -> Boolean,
+): Boolean {
+    val outcome = append(items)
+    if (outcome !is KnownOutcome.Invalid || items.size == 1) return settle(items, outcome)
+    return items.chunked((items.size + 1) / 2).all { appendInHalves(it, append, settle) }
+}
--- a/node/src/main/kotlin/dogwoodgrade/node/StatePublisher.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/StatePublisher.kt
@@ -121,16 +121,24 @@
      */
     private suspend fun append(records: List<Pair<String, ByteArray?>>): Boolean {
         val owner = FleetRecords.OWNER_KEY to FleetRecords.encode(record)
-        val durable = store.limits.splitIntoCalls(records + owner) { it }.all { appendValid(it) }
+        val calls = store.limits.splitIntoCalls(records + owner) { it }
+        val durable = calls.all { call -> appendInHalves(call, ::appendUntilKnown, ::settle) }
         appendedAt = clock.now()
         return durable
     }
 
-    /**
-     * Appends [records] in one call. Those that the store does not take are left out: instances that read the progress
-     * show these states as well.
-     */
-    private suspend fun appendValid(records: List<Pair<String, ByteArray?>>): Boolean {
+    /** Leaves out a state that the store does not take: instances that read the progress show it as well. */
+    private fun settle(records: List<Pair<String, ByteArray?>>, outcome: KnownOutcome): Boolean {
+        if (outcome is KnownOutcome.Invalid) {
+            logger.error { "owner: state not taken key=${records.single().first} reason=${outcome.reason}" }
+            return true
+        }
+        val durable = outcome is KnownOutcome.Durable
+        if (!durable) logger.info { "owner: states no longer published epoch=${record.epoch} outcome=$outcome" }
+        return durable
+    }
+
+    private suspend fun appendUntilKnown(records: List<Pair<String, ByteArray?>>): KnownOutcome {
         val producer = Producer(OWNER_PRODUCER, record.epoch, sequence + 1)
         var loggedAt = appendedAt
         val outcome =
@@ -140,20 +148,8 @@
                     logger.warn { "owner: states not appended records=${records.size} outcome=$failed" }
                 }
             }
-        return when (outcome) {
-            is KnownOutcome.Durable -> {
-                sequence++
-                true
-            }
-            is KnownOutcome.Invalid -> {
-                logger.error { "owner: states not taken records=${records.size} reason=${outcome.reason}" }
-                records.size == 1 || records.all { appendValid(listOf(it)) }
-            }
-            else -> {
-                logger.info { "owner: states no longer published epoch=${record.epoch} outcome=$outcome" }
-                false
-            }
-        }
+        if (outcome is KnownOutcome.Durable) sequence++
+        return outcome
     }
 
     /**
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Executor.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/Executor.kt
@@ -74,24 +74,27 @@
     public val endsComplete: Boolean = true,
 )
 
-/**
- * Outcome of an order to start a run.
- *
- * The incarnations are those that answered, or `null` if the response does not name one. They may be later or earlier
- * than the one that the order was meant for.
- */
+/** Outcome of an order to start a run. */
 public sealed interface StartOutcome {
+    /**
+     * Incarnation that answered, or `null` if none is known to have. It may be later or earlier than the one that the
+     * order was meant for.
+     */
+    public val incarnation: Long?
+
     /** The run exists, or existed until a restart of the executor. */
-    public data class Started(public val incarnation: Long? = null) : StartOutcome
+    public data class Started(override val incarnation: Long? = null) : StartOutcome
 
     /** The executor has not executed this order and never will. */
     public data class Rejected(
         public val reason: StartRejection,
-        public val incarnation: Long? = null,
+        override val incarnation: Long? = null,
     ) : StartOutcome
 
     /** There was no response; the order may have been executed, or may still be until its deadline. */
-    public data object Unknown : StartOutcome
+    public data object Unknown : StartOutcome {
+        override val incarnation: Long? get() = null
+    }
 }
 
 /** Outcome of an order to stop a run. */
--- a/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobTransitions.kt
+++ b/scheduling/src/main/kotlin/dogwoodgrade/scheduling/JobTransitions.kt
@@ -25,8 +25,10 @@
         row.state = progress?.state ?: JobState.Queued
         if (row.ended) row.endedAt = now
         createDueOccurrences(row, wallTime)
-        progress?.let { restore(row, it, now) }
-        failIfExhausted(row, now)
+        if (progress != null) {
+            restore(row, progress, now)
+            failIfExhausted(row, now)
+        }
         releaseSteps(row, now)
         completeIfDone(row, now)
     }
--- a/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SimulatedDayTest.kt
+++ b/scheduling/src/test/kotlin/dogwoodgrade/scheduling/SimulatedDayTest.kt
@@ -60,32 +60,17 @@
     /** Guards against runs of a new incarnation that end with the earlier one, in which the owner still believes. */
     @Test
     fun `restarts that the owner learns of late start no task twice`() =
-        runDays(SimulatedFaults(restarts = 0.05, liveListLag = 1500.milliseconds, listingInterval = 1000.milliseconds))
+        runDays(LATE_DISCOVERY)
 
     /** Guards against orders whose deadline refers to the clock of an earlier incarnation. */
     @Test
     fun `orders that a new incarnation executes late start no task twice`() =
-        runDays(
-            SimulatedFaults(
-                restarts = 0.05,
-                lateOrders = 0.2,
-                outages = 0.03,
-                liveListLag = 1500.milliseconds,
-                listingInterval = 1000.milliseconds,
-            ),
-        )
+        runDays(LATE_DISCOVERY.copy(lateOrders = 0.2, outages = 0.03))
 
     /** Guards against runs on a restarted executor that a new owner takes for lost. */
     @Test
     fun `takeovers between a restart and its discovery start no task twice`() =
-        runDays(
-            SimulatedFaults(
-                restarts = 0.05,
-                takeovers = 0.3,
-                liveListLag = 1500.milliseconds,
-                listingInterval = 1000.milliseconds,
-            ),
-        )
+        runDays(LATE_DISCOVERY.copy(takeovers = 0.3))
 
     @Test
     fun `tasks on disconnected executors are not restarted before the grants end`() =
@@ -114,4 +99,10 @@
                 failures = 0.05,
             ),
         )
+
+    private companion object {
+        /** Restarts of executors that the owner learns of late. */
+        val LATE_DISCOVERY =
+            SimulatedFaults(restarts = 0.05, liveListLag = 1500.milliseconds, listingInterval = 1000.milliseconds)
+    }
 }
