--- a/node/src/main/kotlin/dogwoodgrade/node/RepeatedAppend.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/RepeatedAppend.kt
@@ -88,9 +88,9 @@
 }
 
 /**
- * Appends [items] with [append]. Those that the store does not take together are appended in halves, so that one that is
- * at fault does not keep the others from becoming durable. Each outcome is passed to [settle] with its items: one item
- * if the store does not take it.
+ * Appends [items] with [append]. Those that the store does not take together are appended in halves, so that one at
+ * fault does not keep the others from becoming durable. Each outcome is passed to [settle] with its items: one item if
+ * the store does not take it.
  *
  * @return whether [settle] has returned `true` for all; what follows one for which it did not is left out
  */
