Let the node use the store and the clocks through narrow interfaces

Cause: followers, publisher, intake and writer took the HTTP client of the store and the clock of the process, so that a test of the counts in virtual time, with hundreds of histories, could not run them.

Change: LogStore is the interface of the store's keyed topics, NodeClock takes its two times as functions. No change of behaviour.

--- a/node/src/main/kotlin/dogwoodgrade/node/JobIntake.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/JobIntake.kt
@@ -1,7 +1,7 @@
 package dogwoodgrade.node
 
+import dogwoodgrade.platform.LogStore
 import dogwoodgrade.platform.Producer
-import dogwoodgrade.platform.StoreClient
 import dogwoodgrade.platform.Topic
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CompletableDeferred
@@ -58,7 +58,7 @@
  * repeated under the same sequence number until its outcome is known, so that a refused record is never appended.
  */
 internal class JobIntake(
-    private val store: StoreClient,
+    private val store: LogStore,
     private val producer: String,
     clock: NodeClock,
     storeAvailability: StoreAvailability,
--- a/node/src/main/kotlin/dogwoodgrade/node/Node.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/Node.kt
@@ -14,6 +14,7 @@
 import dogwoodgrade.platform.AdviceClient
 import dogwoodgrade.platform.AppendOutcome
 import dogwoodgrade.platform.CallerServer
+import dogwoodgrade.platform.LogStore
 import dogwoodgrade.platform.MachinesClient
 import dogwoodgrade.platform.NodeSettings
 import dogwoodgrade.platform.Producer
@@ -60,7 +61,7 @@
  */
 internal class NodeComponents(
     val vertx: Vertx,
-    val store: StoreClient,
+    val store: LogStore,
     val machines: MachinesClient?,
     val advice: AdviceClient?,
     val configuration: ConfigurationTable,
--- a/node/src/main/kotlin/dogwoodgrade/node/NodeClock.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/NodeClock.kt
@@ -15,14 +15,18 @@
  *
  * Unlike the time of day, the monotonic clock does not advance while the machine is suspended. A lease that is measured
  * on the monotonic clock alone would outlast a suspension.
+ *
+ * @param monotonicTime returns the time of a clock that is never set
+ * @param timeOfDay returns the time of day
  */
-internal class NodeClock {
-    private val startedAt: Instant = Clock.System.now()
-    private val mark = TimeSource.Monotonic.markNow()
+internal class NodeClock(
+    private val monotonicTime: () -> Instant = monotonicTimeSinceNow(),
+    private val timeOfDay: () -> Instant = { Clock.System.now() },
+) {
     private var difference: Duration = Duration.ZERO
 
     /** Returns the monotonic time. */
-    fun now(): Instant = startedAt + mark.elapsedNow()
+    fun now(): Instant = monotonicTime()
 
     /** Returns both times. A suspension between the two readings shows in the second one. */
     fun reading(): ClockReading {
@@ -31,7 +35,7 @@
     }
 
     /** Returns the time of day. */
-    fun wallTime(): Instant = Clock.System.now()
+    fun wallTime(): Instant = timeOfDay()
 
     /** Tells whether the machine was suspended, or the time of day was set, since the last call. */
     @Synchronized
@@ -42,3 +46,10 @@
         return jumped
     }
 }
+
+/** Returns a function that counts on from the present time of day, whatever the time of day is set to. */
+private fun monotonicTimeSinceNow(): () -> Instant {
+    val startedAt = Clock.System.now()
+    val mark = TimeSource.Monotonic.markNow()
+    return { startedAt + mark.elapsedNow() }
+}
--- a/node/src/main/kotlin/dogwoodgrade/node/OwnerWriter.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnerWriter.kt
@@ -3,8 +3,8 @@
 import dogwoodgrade.ownership.Lease
 import dogwoodgrade.ownership.OwnershipPolicy
 import dogwoodgrade.ownership.OwnershipRecord
+import dogwoodgrade.platform.LogStore
 import dogwoodgrade.platform.Producer
-import dogwoodgrade.platform.StoreClient
 import dogwoodgrade.platform.Topic
 import dogwoodgrade.scheduling.ExecutorIdentifier
 import dogwoodgrade.scheduling.JobIdentifier
@@ -45,7 +45,7 @@
  * @param onDurable called after each append with the starts to order now, and the executors with durable ends
  */
 internal class OwnerWriter(
-    store: StoreClient,
+    store: LogStore,
     private val fleet: FleetTable,
     private val jobs: JobTable,
     private val ownership: OwnershipTable,
--- a/node/src/main/kotlin/dogwoodgrade/node/RepeatedAppend.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/RepeatedAppend.kt
@@ -2,8 +2,8 @@
 
 import dogwoodgrade.ownership.ClockReading
 import dogwoodgrade.platform.AppendOutcome
+import dogwoodgrade.platform.LogStore
 import dogwoodgrade.platform.Producer
-import dogwoodgrade.platform.StoreClient
 import dogwoodgrade.platform.Topic
 import kotlinx.coroutines.delay
 import kotlin.time.Duration
@@ -50,7 +50,7 @@
  * @property maximumRefusals number of refused attempts after which it gives up, unless another attempt has no answer
  */
 internal class RepeatedAppend(
-    private val store: StoreClient,
+    private val store: LogStore,
     private val storeAvailability: StoreAvailability,
     private val clock: NodeClock,
     private val pause: Duration,
--- a/node/src/main/kotlin/dogwoodgrade/node/StatePublisher.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/StatePublisher.kt
@@ -2,9 +2,9 @@
 
 import dogwoodgrade.ownership.OwnershipRecord
 import dogwoodgrade.platform.KeyedRecord
+import dogwoodgrade.platform.LogStore
 import dogwoodgrade.platform.Producer
 import dogwoodgrade.platform.SnapshotOutcome
-import dogwoodgrade.platform.StoreClient
 import dogwoodgrade.platform.Topic
 import dogwoodgrade.scheduling.JobIdentifier
 import dogwoodgrade.scheduling.JobState
@@ -66,7 +66,7 @@
  * @param queueOf returns the queue of a job, or `null` if the job is not known
  */
 internal class StatePublisher(
-    private val store: StoreClient,
+    private val store: LogStore,
     storeAvailability: StoreAvailability,
     private val clock: NodeClock,
     private val record: OwnershipRecord,
--- a/node/src/main/kotlin/dogwoodgrade/node/TopicFollower.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/TopicFollower.kt
@@ -1,9 +1,9 @@
 package dogwoodgrade.node
 
 import dogwoodgrade.platform.KeyedRecord
+import dogwoodgrade.platform.LogStore
 import dogwoodgrade.platform.ReadOutcome
 import dogwoodgrade.platform.SnapshotOutcome
-import dogwoodgrade.platform.StoreClient
 import dogwoodgrade.platform.Topic
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.channels.Channel
@@ -49,7 +49,7 @@
  * @param pause pause between two reads, in which records accumulate
  */
 internal class TopicFollower(
-    private val store: StoreClient,
+    private val store: LogStore,
     private val topic: Topic,
     private val clock: NodeClock,
     private val pause: () -> Duration,
