Log what a count of waiting jobs was counted from

Cause of the change: the log line of a count had the ages of its sources only, so that a table whose position was ahead of its jobs, one that was older than its age, and jobs that wrongly count as begun looked the same.

Change: the line also has the number of known jobs of the queue, the source, whether the table was complete, and the position it was filled to.

Measured: nothing but the logs changes; the tests of the tables run with it.

--- a/node/src/main/kotlin/dogwoodgrade/node/CallerHandler.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/CallerHandler.kt
@@ -136,9 +136,9 @@
         if (!current.isWithin(LONGEST_COUNT_AGE)) {
             return refuse("the jobs are not known lately enough $current", request)
         }
-        val count = jobs.pending(queue)
-        logger.info { "caller: pending queue=$queue count=$count $current" }
-        return JobApiReply.Pending(count)
+        val count = jobs.countPending(queue)
+        logger.info { "caller: pending queue=$queue $count $current" }
+        return JobApiReply.Pending(count.pending)
     }
 
     private suspend fun query(request: JobApiRequest, identifier: JobIdentifier): JobApiReply {
--- a/node/src/main/kotlin/dogwoodgrade/node/JobTable.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/JobTable.kt
@@ -83,6 +83,25 @@
     val offset: Long,
 )
 
+/**
+ * Number of jobs of a queue of which no task has been started, and what it was counted from.
+ *
+ * @property known number of jobs of the queue in the table, whatever their state
+ * @property fromSummary whether the table is filled from the summary
+ * @property complete whether the table has all jobs that were accepted before [readTo]
+ * @property readTo offset in the jobs topic up to which the table has been filled
+ */
+internal data class PendingCount(
+    val pending: Int,
+    val known: Int,
+    val fromSummary: Boolean,
+    val complete: Boolean,
+    val readTo: Long,
+) {
+    override fun toString(): String =
+        "count=$pending jobs=$known summary=$fromSummary complete=$complete read_to=$readTo"
+}
+
 /**
  * All jobs in the log. Every entry instance keeps this table; a new owner builds its schedule from it.
  *
@@ -303,7 +322,11 @@
         return !running && progress.state.ended
     }
 
-    /** Returns the number of jobs of [queue] of which no task has been started. */
+    /** Counts the jobs of [queue] of which no task has been started. */
     @Synchronized
-    fun pending(queue: String): Int = jobs.values.count { it.state == JobState.Queued && it.queue == queue }
+    fun countPending(queue: String): PendingCount {
+        val jobsOfQueue = jobs.values.filter { it.queue == queue }
+        val pending = jobsOfQueue.count { it.state == JobState.Queued }
+        return PendingCount(pending, jobsOfQueue.size, fromSummary, complete, nextOffset)
+    }
 }
--- a/node/src/test/kotlin/dogwoodgrade/node/SummaryTableTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/SummaryTableTest.kt
@@ -84,7 +84,7 @@
         table.addAccepted(job("c"))
         assertEquals(JobState.Active, stateOf("a"))
         assertEquals(JobState.Queued, stateOf("b"))
-        assertEquals(2, table.pending("queue"))
+        assertEquals(2, table.countPending("queue").pending)
         assertTrue(listOf("a", "b", "c").all { table[JobIdentifier(it)]?.job == null })
         read(state("b", JobState.Completed))
         assertEquals(JobState.Completed, stateOf("b"))
--- a/node/src/test/kotlin/dogwoodgrade/node/TablesTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/TablesTest.kt
@@ -175,9 +175,9 @@
     fun `jobs that have not started are pending`() {
         val table = JobTable()
         table.applyJob(jobRecord())
-        assertEquals(1, table.pending("queue"))
+        assertEquals(1, table.countPending("queue").pending)
         table.applyProgress(ProgressChange(identifier, 0, ProgressPart(JobProgress(JobState.Active))), 1)
-        assertEquals(0, table.pending("queue"))
+        assertEquals(0, table.countPending("queue").pending)
     }
 
     private fun configuration(version: Long) =
