Append the position of the summary behind the jobs that it covers

What callers saw: nothing so far; a weak instance can answer a count without the jobs of the last batch (MIXED).

Cause: the records of a batch were kept by key, at the place where each key came first. The position of the first change thus stood before the jobs of all later ones, with the value of the last. If the batch needs several calls, if the store takes it in halves only, if a read ends inside it, or if the owner ends between two calls, a reader has the position and not the jobs, and reads the newer jobs from behind them. Class of fault: an answer from knowledge that does not prove it.

Evidence: the test saw position 5 before the jobs a0 to a4.

Change: the position is the last record of a batch.

--- a/node/src/main/kotlin/dogwoodgrade/node/StatePublisher.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/StatePublisher.kt
@@ -186,8 +186,13 @@
     private fun waitingChanges(): List<SummaryChange> =
         generateSequence { changes.tryReceive().getOrNull() }.take(MAX_STATES_PER_APPEND).toList()
 
+    /**
+     * Returns the records of [changes]. The position comes last, because readers may see only the first of them: those
+     * of some of several calls, or those that fit into one read.
+     */
     private fun recordsOf(changes: List<SummaryChange>): List<Pair<String, ByteArray?>> {
         val records = linkedMapOf<String, ByteArray?>()
+        var position: Long? = null
         for (change in changes) {
             when (change) {
                 is SummaryChange.Accepted ->
@@ -199,11 +204,11 @@
                 }
                 is SummaryChange.Removed -> remove(change.job, records)
                 is SummaryChange.Existing -> (published.keys - change.jobs).forEach { remove(it, records) }
-                is SummaryChange.Position ->
-                    records[FleetRecords.JOBS_POSITION_KEY] = FleetRecords.encodePosition(change.offset)
+                is SummaryChange.Position -> position = change.offset
             }
         }
-        return records.toList()
+        return records.toList() +
+            listOfNotNull(position?.let { FleetRecords.JOBS_POSITION_KEY to FleetRecords.encodePosition(it) })
     }
 
     private fun remove(job: JobIdentifier, records: MutableMap<String, ByteArray?>) {
