Let callers share only reads that are sent after they have asked

Cause: a caller joined a read of the newest jobs that was under way. The store may have answered it before the job was accepted, so that its end of the topic proves nothing for this caller. Class of fault: an answer from knowledge that does not prove it.

Change: SharedRead lets one read be under way and one wait; callers join the one that waits. At most one read more is sent for all callers of a moment. The bound on the age of the read is not needed any more: it was sent after the caller asked.

--- a/node/src/main/kotlin/dogwoodgrade/node/LogFollowers.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/LogFollowers.kt
@@ -9,8 +9,6 @@
 import dogwoodgrade.platform.readOperatorRecord
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Deferred
-import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
@@ -36,24 +34,12 @@
 /** Longest wait of a caller for a read of the newest jobs. */
 private val LONGEST_JOB_READ_WAIT: Duration = 1.seconds
 
-/**
- * Age of a read up to which it proves that a job does not exist. Less than the 3 s after which the platform expects an
- * accepted job to be known everywhere.
- */
-private val LONGEST_JOB_READ_AGE: Duration = 2.seconds
-
 /** Age up to which knowledge is used for a count without another read, each of which the store charges for. */
 private val FRESH_AGE: Duration = 1.seconds
 
 /** Pause of the owner between two reads of the jobs topic. */
 private val OWNER_READ_PAUSE: Duration = 10.milliseconds
 
-/** A read of the newest jobs that was sent at [sentAt]; its outcome tells whether it reached the end of the topic. */
-private data class JobRead(
-    val sentAt: Instant,
-    val outcome: Deferred<Boolean>,
-)
-
 /**
  * Age of what this process knows; `null` if a topic has never been read to its end.
  *
@@ -93,8 +79,7 @@
     @Volatile
     private var jobFollower: TopicFollower? = null
 
-    @Volatile
-    private var jobRead: JobRead? = null
+    private val jobRead = SharedRead(scope) { readJobsOnce() }
 
     /** Time up to which all jobs have been applied by reads for callers. */
     @Volatile
@@ -228,30 +213,22 @@
     }
 
     /**
-     * Adds the records that the log has beyond the job table. Callers share a read that is under way, since all of them
-     * ask for a job that is missing because this process is behind.
+     * Adds the records that the log has beyond the job table. Callers share a read, since all of them ask for a job that
+     * is missing because this process is behind.
      *
      * Before the table has been complete, the read would begin with the first record of the log and be repeated by each
      * caller, which a narrow link does not carry.
      *
-     * @return whether a read that was sent less than [LONGEST_JOB_READ_AGE] ago has reached the end of the topic
+     * @return whether a read that was sent after this call has reached the end of the topic
      */
     suspend fun readNewJobs(): Boolean {
-        val shared = jobRead?.takeIf { it.outcome.isActive }
-        val read = shared ?: startJobRead() ?: return false
-        // A read over a full link can take seconds; another one beside it would take as long.
-        if (clock.now() - read.sentAt > LONGEST_JOB_READ_WAIT) return false
-        val reachedEnd = withTimeoutOrNull(LONGEST_JOB_READ_WAIT) { read.outcome.await() } ?: false
-        return reachedEnd && clock.now() - read.sentAt < LONGEST_JOB_READ_AGE
+        if (components.jobs.readPosition() == null) return false
+        return withTimeoutOrNull(LONGEST_JOB_READ_WAIT) { jobRead.join().await() } ?: false
     }
 
-    private fun startJobRead(): JobRead? {
-        val position = components.jobs.readPosition() ?: return null
+    private suspend fun readJobsOnce(): Boolean {
+        val position = components.jobs.readPosition() ?: return false
         val sentAt = clock.now()
-        return JobRead(sentAt, scope.async { readJobsOnce(position, sentAt) }).also { jobRead = it }
-    }
-
-    private suspend fun readJobsOnce(position: JobReadPosition, sentAt: Instant): Boolean {
         val outcome = components.store.read(Topic.Jobs, position.offset, Duration.ZERO)
         if (outcome !is ReadOutcome.Records) return false
         if (!components.jobs.applyNewJobs(position, outcome.records, outcome.nextOffset)) return false
--- a/node/src/test/kotlin/dogwoodgrade/node/AnswerAgeTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/AnswerAgeTest.kt
@@ -121,6 +121,20 @@
             first.join()
         }
 
+    /** Guards against a 410 for an accepted job from a read that was sent before it was accepted; the job runs on. */
+    @Test
+    fun `a job that was accepted during a read for another caller is not unknown`() =
+        onPlatform(executors = 0, nodes = 1) {
+            val late = startNode("entry-1", storePort = store.secondPort)
+            awaitReady(late)
+            store.secondPortFaults = StoreFaults(delayedTopics = setOf(JOBS_TOPIC))
+            val first = thread { call(late, "GET", "/queue/b") }
+            delay(200.milliseconds)
+            assertEquals(200, call(nodes[0], "POST", "/queue/a", TestPlatform.TWO_STEPS).first)
+            assertNotEquals(410, call(late, "DELETE", "/queue/a").first)
+            first.join()
+        }
+
     private companion object {
         const val JOBS_TOPIC = "keyed.dogwoodgrade-jobs"
         const val STATES_TOPIC = "keyed.dogwoodgrade-job-states"
