Count suspensions in the age of what an instance knows

What callers saw: nothing so far; an instance that was suspended can answer counts, states and 410 from knowledge of before (MIXED, LOST).

Cause: the age of a table was measured on the monotonic clock, which stands still while the machine is suspended. After eight seconds of suspension, knowledge from before it was some milliseconds old and was answered without a read.

Change: reads note both clocks when they are sent. The age is what the monotonic clock has advanced, and what the time of day has advanced beyond it, as for the owner's lease; both use one function.

--- a/node/src/main/kotlin/dogwoodgrade/node/CallerHandler.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/CallerHandler.kt
@@ -1,5 +1,6 @@
 package dogwoodgrade.node
 
+import dogwoodgrade.ownership.ClockReading
 import dogwoodgrade.platform.JobApiReply
 import dogwoodgrade.platform.JobApiRequest
 import dogwoodgrade.platform.JobOperation
@@ -13,7 +14,6 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.Instant
 
 private val logger = KotlinLogging.logger {}
 
@@ -53,7 +53,7 @@
     private val readNewJobs: suspend () -> Boolean,
     private val readNewStates: suspend () -> Unit,
     private val refresh: suspend () -> TableAges,
-    private val ages: (Instant) -> TableAges,
+    private val ages: (ClockReading) -> TableAges,
 ) {
     /** Returns the reply to [request]. */
     suspend fun handle(request: JobApiRequest): JobApiReply {
@@ -147,7 +147,7 @@
         // Callers ask most often when the job has just ended.
         if (!job.state.ended) readNewStates()
         val state = (jobs[identifier] ?: job).state
-        val current = ages(clock.now())
+        val current = ages(clock.reading())
         // A state that a job ends with does not change any more.
         if (!state.ended && !isWithin(current.states, LONGEST_STATE_AGE)) {
             return refuse("the state is not known lately enough $current", request)
--- a/node/src/main/kotlin/dogwoodgrade/node/LogFollowers.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/LogFollowers.kt
@@ -1,6 +1,7 @@
 package dogwoodgrade.node
 
 import dogwoodgrade.ownership.Candidate
+import dogwoodgrade.ownership.ClockReading
 import dogwoodgrade.ownership.OwnershipPolicy
 import dogwoodgrade.ownership.OwnershipView
 import dogwoodgrade.ownership.followsProgress
@@ -15,7 +16,6 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.Instant
 
 private val logger = KotlinLogging.logger {}
 
@@ -83,7 +83,7 @@
 
     /** Time up to which all jobs have been applied by reads for callers. */
     @Volatile
-    private var newJobsAsOf: Instant? = null
+    private var newJobsAsOf: ClockReading? = null
 
     @Volatile
     private var stateFollower: TopicFollower? = null
@@ -194,22 +194,22 @@
     }
 
     /** Returns how old the knowledge of jobs and of their states is at the time [now]. */
-    fun ages(now: Instant): TableAges {
+    fun ages(now: ClockReading): TableAges {
         // The owner applies its own appends; a confirmed one proves that no other owner has appended.
         val statesAsOf = listOfNotNull(stateFollower?.currentAsOf, components.ownership.confirmedAt())
         val jobsAsOf = listOfNotNull(jobFollower?.currentAsOf, newJobsAsOf)
-        return TableAges(jobsAsOf.maxOrNull()?.let { now - it }, statesAsOf.maxOrNull()?.let { now - it })
+        return TableAges(jobsAsOf.minOfOrNull(now::elapsedSince), statesAsOf.minOfOrNull(now::elapsedSince))
     }
 
     /** Reads what is older than [FRESH_AGE], and returns the ages after that. */
     suspend fun refresh(): TableAges {
-        val before = ages(clock.now())
+        val before = ages(clock.reading())
         coroutineScope {
             if (!isWithin(before.jobs, FRESH_AGE)) launch { readNewJobs() }
             val incomplete = !components.jobs.isComplete()
             if (incomplete || !isWithin(before.states, FRESH_AGE)) launch { readNewStates() }
         }
-        return ages(clock.now())
+        return ages(clock.reading())
     }
 
     /**
@@ -228,7 +228,7 @@
 
     private suspend fun readJobsOnce(): Boolean {
         val position = components.jobs.readPosition() ?: return false
-        val sentAt = clock.now()
+        val sentAt = clock.reading()
         val outcome = components.store.read(Topic.Jobs, position.offset, Duration.ZERO)
         if (outcome !is ReadOutcome.Records) return false
         if (!components.jobs.applyNewJobs(position, outcome.records, outcome.nextOffset)) return false
--- a/node/src/main/kotlin/dogwoodgrade/node/OwnershipTable.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnershipTable.kt
@@ -151,5 +151,5 @@
 
     /** Returns when the newest confirmed append of this process was sent, or `null` if it holds no lease. */
     @Synchronized
-    fun confirmedAt(): Instant? = lease?.confirmedAt?.monotonic
+    fun confirmedAt(): ClockReading? = lease?.confirmedAt
 }
--- a/node/src/main/kotlin/dogwoodgrade/node/TopicFollower.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/TopicFollower.kt
@@ -1,5 +1,6 @@
 package dogwoodgrade.node
 
+import dogwoodgrade.ownership.ClockReading
 import dogwoodgrade.platform.KeyedRecord
 import dogwoodgrade.platform.LogStore
 import dogwoodgrade.platform.ReadOutcome
@@ -68,7 +69,7 @@
 
     /** Time up to which all records of the topic have been applied, or `null` before it has been read to its end. */
     @Volatile
-    var currentAsOf: Instant? = null
+    var currentAsOf: ClockReading? = null
         private set
 
     /** Waits until a read has completed, at most for [limit]. */
@@ -120,15 +121,15 @@
      * @return whether the whole snapshot has been read and applied
      */
     private suspend fun readSnapshotPage(): Boolean {
-        val sentAt = clock.now()
+        val sentAt = clock.reading()
         val partial = snapshot ?: PartialSnapshot(sentAt).also { snapshot = it }
         val outcome = store.newest(topic, partial.lastKey)
-        storeAvailability.recordCall(outcome !is SnapshotOutcome.Failed, sentAt, clock.now())
+        storeAvailability.recordCall(outcome !is SnapshotOutcome.Failed, sentAt.monotonic, clock.now())
         when (outcome) {
             is SnapshotOutcome.Failed -> {
                 logger.warn {
                     "follower: snapshot page failed topic=$topic records=${partial.records.size} " +
-                        "after=${partial.lastKey} took=${clock.now() - sentAt} reason=${outcome.reason}"
+                        "after=${partial.lastKey} took=${clock.now() - sentAt.monotonic} reason=${outcome.reason}"
                 }
                 delay(READ_RETRY_PAUSE)
                 return false
@@ -150,16 +151,16 @@
         receive(FollowedRecords(read.records, snapshot = true, end, reachedEnd = true), read.startedAt)
         logger.info {
             "follower: snapshot read topic=$topic records=${read.records.size} next=$end " +
-                "took=${clock.now() - read.startedAt}"
+                "took=${clock.now() - read.startedAt.monotonic}"
         }
         return true
     }
 
     /** Reads the records from the offset [from] on. Returns whether records were read, even if there were none. */
     private suspend fun readRecords(from: Long, wait: Duration): Boolean {
-        val sentAt = clock.now()
+        val sentAt = clock.reading()
         val outcome = store.read(topic, from, wait)
-        storeAvailability.recordCall(outcome !is ReadOutcome.Failed, sentAt, clock.now())
+        storeAvailability.recordCall(outcome !is ReadOutcome.Failed, sentAt.monotonic, clock.now())
         when (outcome) {
             is ReadOutcome.Failed -> {
                 logger.debug { "follower: read failed topic=$topic from=$from reason=${outcome.reason}" }
@@ -188,7 +189,7 @@
         return signalled
     }
 
-    private suspend fun receive(followed: FollowedRecords, sentAt: Instant) {
+    private suspend fun receive(followed: FollowedRecords, sentAt: ClockReading) {
         knownOffset = followed.nextOffset
         next = followed.nextOffset
         apply(followed)
@@ -202,7 +203,7 @@
  *
  * @property startedAt time at which the first page was asked for
  */
-private class PartialSnapshot(val startedAt: Instant) {
+private class PartialSnapshot(val startedAt: ClockReading) {
     val records = mutableListOf<KeyedRecord>()
 
     /** Key after which the next page begins, or `null` before the first and after the last page. */
--- a/ownership/src/main/kotlin/dogwoodgrade/ownership/Ownership.kt
+++ b/ownership/src/main/kotlin/dogwoodgrade/ownership/Ownership.kt
@@ -145,7 +145,17 @@
 public data class ClockReading(
     public val monotonic: Instant,
     public val timeOfDay: Instant,
-)
+) {
+    /** Returns the time that has passed since [earlier], including suspensions. */
+    public fun elapsedSince(earlier: ClockReading): Duration =
+        monotonic - earlier.monotonic + suspensionSince(earlier)
+
+    /** Returns what the time of day has advanced since [earlier] beyond the monotonic clock. */
+    internal fun suspensionSince(earlier: ClockReading): Duration {
+        val elapsed = monotonic - earlier.monotonic
+        return (timeOfDay - earlier.timeOfDay - elapsed).coerceAtLeast(Duration.ZERO)
+    }
+}
 
 /**
  * The lease of an owner, extended by each confirmed write.
@@ -162,16 +172,11 @@
 ) {
     /** Returns the time on the monotonic clock from which the owner must not give orders. */
     public fun ordersUntil(policy: OwnershipPolicy, now: ClockReading): Instant =
-        confirmedAt.monotonic + policy.orderDuration - suspension(now)
+        confirmedAt.monotonic + policy.orderDuration - now.suspensionSince(confirmedAt)
 
     /** Returns the latest time on the monotonic clock at which a grant of the owner may end. */
     public fun grantsUntil(policy: OwnershipPolicy, now: ClockReading): Instant =
-        confirmedAt.monotonic + policy.maximumGrantDuration - suspension(now)
-
-    private fun suspension(now: ClockReading): Duration {
-        val elapsed = now.monotonic - confirmedAt.monotonic
-        return (now.timeOfDay - confirmedAt.timeOfDay - elapsed).coerceAtLeast(Duration.ZERO)
-    }
+        confirmedAt.monotonic + policy.maximumGrantDuration - now.suspensionSince(confirmedAt)
 }
 
 /**
