Take a read that ends before an earlier one for no proof of freshness

What callers saw: nothing so far; an instance can count for fresh what it read long ago, and answer counts and 410 from it (MIXED, LOST).

A read for callers did the same. Class of fault: knowledge that is older than its measured age.

Evidence: the test had an age of 0.2 s three seconds after the store had begun to return the topic as it was one record earlier.

Change: such a read is repeated like a failed one, and proves nothing to callers.

--- a/node/src/main/kotlin/dogwoodgrade/node/LogFollowers.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/LogFollowers.kt
@@ -230,7 +230,7 @@
         val position = components.jobs.readPosition() ?: return false
         val sentAt = clock.reading()
         val outcome = components.store.read(Topic.Jobs, position.offset, Duration.ZERO)
-        if (outcome !is ReadOutcome.Records) return false
+        if (outcome !is ReadOutcome.Records || outcome.isOutdated(position.offset)) return false
         if (!components.jobs.applyNewJobs(position, outcome.records, outcome.nextOffset)) return false
         val reachedEnd = outcome.nextOffset >= outcome.endOffset
         if (reachedEnd) newJobsAsOf = sentAt
--- a/node/src/main/kotlin/dogwoodgrade/node/TopicFollower.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/TopicFollower.kt
@@ -45,7 +45,7 @@
  * Follows a keyed topic, starting with a snapshot of the newest record of each key.
  *
  * If the store no longer has the next records, the follower reads a snapshot again. A snapshot that ends before the
- * offset already read is stale and is discarded.
+ * offset already read is outdated and is discarded, as is a read.
  *
  * @param pause pause between two reads, in which records accumulate
  */
@@ -144,7 +144,7 @@
     private suspend fun applySnapshot(read: PartialSnapshot): Boolean {
         val end = read.endOffset
         if (end < knownOffset) {
-            logger.warn { "follower: stale snapshot topic=$topic end=$end known=$knownOffset" }
+            logger.warn { "follower: outdated snapshot topic=$topic end=$end known=$knownOffset" }
             delay(READ_RETRY_PAUSE)
             return false
         }
@@ -173,6 +173,11 @@
                 next = null
             }
             is ReadOutcome.Records -> {
+                if (outcome.isOutdated(from)) {
+                    logger.warn { "follower: outdated read topic=$topic from=$from end=${outcome.endOffset}" }
+                    delay(READ_RETRY_PAUSE)
+                    return false
+                }
                 val reachedEnd = outcome.nextOffset >= outcome.endOffset
                 receive(FollowedRecords(outcome.records, snapshot = false, outcome.nextOffset, reachedEnd), sentAt)
                 return true
@@ -198,6 +203,9 @@
     }
 }
 
+/** Tells whether the topic ended before [from] when it was read, though it has been read up to there before. */
+internal fun ReadOutcome.Records.isOutdated(from: Long): Boolean = endOffset < from
+
 /**
  * Pages of a snapshot that have been read.
  *
--- a/node/src/test/kotlin/dogwoodgrade/node/TopicFollowerTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/TopicFollowerTest.kt
@@ -82,6 +82,19 @@
             assertTrue(ageOf(follower) >= 8.seconds)
         }
 
+    /** Guards against counts that pass for fresh because a read of an earlier state of the topic has no records (MIXED). */
+    @Test
+    fun `a read that ends before what was read earlier proves nothing`() =
+        runTest {
+            val follower =
+                follow { from ->
+                    delay(5.milliseconds)
+                    nothingNew(from, end = if (currentTime < 1000) from else from - 1)
+                }
+            delay(4.seconds)
+            assertTrue(ageOf(follower) >= 3.seconds)
+        }
+
     private companion object {
         const val END = 7L
     }
