Count waiting jobs only in a complete table that was read since it began

Cause: a count asked how old the jobs and the states were, not whether the table was complete. Such a read could also end between the change of the source and the reset of its time, and vouch for the new table. Class of fault: an answer from knowledge that does not prove it.

Change: the time that reads for callers have proved is part of the table and is reset with it under its lock. A count also takes whether the table was complete at that moment, and is refused if not. A table that is not complete is read on before its new jobs are asked for.

--- a/node/src/main/kotlin/dogwoodgrade/node/CallerHandler.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/CallerHandler.kt
@@ -133,10 +133,11 @@
 
     private suspend fun pending(request: JobApiRequest, queue: String): JobApiReply {
         val current = refresh()
-        if (!current.isWithin(LONGEST_COUNT_AGE)) {
-            return refuse("the jobs are not known lately enough $current", request)
-        }
         val count = jobs.countPending(queue)
+        // The table may have begun to be filled anew after its ages were told.
+        if (!count.complete || !current.isWithin(LONGEST_COUNT_AGE)) {
+            return refuse("the jobs are not all known, or not lately enough $count $current", request)
+        }
         logger.info { "caller: pending queue=$queue $count $current" }
         return JobApiReply.Pending(count.pending)
     }
--- a/node/src/main/kotlin/dogwoodgrade/node/JobTable.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/JobTable.kt
@@ -1,5 +1,6 @@
 package dogwoodgrade.node
 
+import dogwoodgrade.ownership.ClockReading
 import dogwoodgrade.platform.KeyedRecord
 import dogwoodgrade.scheduling.Job
 import dogwoodgrade.scheduling.JobIdentifier
@@ -119,6 +120,7 @@
 
     /** Whether the summary has named a position. */
     private var positionKnown = false
+    private var newJobsAsOf: ClockReading? = null
 
     /** Begins to fill the table from the records of the jobs. It is not complete before they have been read. */
     @Synchronized
@@ -130,6 +132,7 @@
         complete = false
         nextOffset = 0
         positionKnown = false
+        newJobsAsOf = null
     }
 
     /** Begins to fill the table from the summary of the jobs, and drops the records that it has. */
@@ -230,6 +233,7 @@
         followed.records.forEach { applyState(it) }
         if (followed.snapshot) {
             generation++
+            newJobsAsOf = null
             val present = followed.records.mapNotNullTo(mutableSetOf()) { FleetRecords.stateJobOf(it.key) }
             jobs.entries.removeIf { it.key !in present && it.value.state.ended }
         }
@@ -286,16 +290,27 @@
     /**
      * Applies the [records] of the jobs topic that were read from [position] on.
      *
+     * @param asOf time at which the read was sent, or `null` if it has not reached the end of the topic
      * @return `false` if the table has begun to be filled anew since, so that the records may not be all that it lacks
      */
     @Synchronized
-    fun applyNewJobs(position: JobReadPosition, records: List<KeyedRecord>, nextOffset: Long): Boolean {
+    fun applyNewJobs(
+        position: JobReadPosition,
+        records: List<KeyedRecord>,
+        nextOffset: Long,
+        asOf: ClockReading? = null,
+    ): Boolean {
         if (!complete || position.generation != generation) return false
         records.forEach { applyJob(it) }
         this.nextOffset = maxOf(this.nextOffset, nextOffset)
+        if (asOf != null) newJobsAsOf = asOf
         return true
     }
 
+    /** Returns the time up to which [applyNewJobs] has added all jobs since the table began to be filled. */
+    @Synchronized
+    fun newJobsAsOf(): ClockReading? = newJobsAsOf
+
     /** Returns the offset in the jobs topic before which the table has all jobs, provided that it [isComplete]. */
     @Synchronized
     fun readTo(): Long = nextOffset
--- a/node/src/main/kotlin/dogwoodgrade/node/LogFollowers.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/LogFollowers.kt
@@ -81,10 +81,6 @@
 
     private val jobRead = SharedRead(scope) { readJobsOnce() }
 
-    /** Time up to which all jobs have been applied by reads for callers. */
-    @Volatile
-    private var newJobsAsOf: ClockReading? = null
-
     @Volatile
     private var stateFollower: TopicFollower? = null
 
@@ -128,7 +124,6 @@
     /** Follows jobs and progress until a stronger owner publishes their summary. */
     private suspend fun followRecords(lacksSummary: (OwnershipView?) -> Boolean) {
         components.jobs.followRecords()
-        newJobsAsOf = null
         val states = follower(Topic.Progress, { FOLLOWER_READ_PAUSE }) { applyProgressRecords(it) }
         val jobs =
             follower(Topic.Jobs, { if (isOwner()) OWNER_READ_PAUSE else UNURGENT_READ_PAUSE }) { applyJobRecords(it) }
@@ -143,7 +138,6 @@
     /** Follows the summary until this instance is not weaker than the owner, or the owner is silent. */
     private suspend fun followSummary() {
         components.jobs.followSummary()
-        newJobsAsOf = null
         val states = follower(Topic.States, { UNURGENT_READ_PAUSE }) { applyStateRecords(it) }
         stateFollower = states
         follow(states) { !followsProgress(it, candidate, policy) }
@@ -197,17 +191,18 @@
     fun ages(now: ClockReading): TableAges {
         // The owner applies its own appends; a confirmed one proves that no other owner has appended.
         val statesAsOf = listOfNotNull(stateFollower?.currentAsOf, components.ownership.confirmedAt())
-        val jobsAsOf = listOfNotNull(jobFollower?.currentAsOf, newJobsAsOf)
+        val jobsAsOf = listOfNotNull(jobFollower?.currentAsOf, components.jobs.newJobsAsOf())
         return TableAges(jobsAsOf.minOfOrNull(now::elapsedSince), statesAsOf.minOfOrNull(now::elapsedSince))
     }
 
     /** Reads what is older than [FRESH_AGE], and returns the ages after that. */
     suspend fun refresh(): TableAges {
+        // The new jobs are read from a position that a table lacks while it is not complete.
+        if (!components.jobs.isComplete()) readNewStates()
         val before = ages(clock.reading())
         coroutineScope {
             if (!isWithin(before.jobs, FRESH_AGE)) launch { readNewJobs() }
-            val incomplete = !components.jobs.isComplete()
-            if (incomplete || !isWithin(before.states, FRESH_AGE)) launch { readNewStates() }
+            if (!isWithin(before.states, FRESH_AGE)) launch { readNewStates() }
         }
         return ages(clock.reading())
     }
@@ -231,10 +226,9 @@
         val sentAt = clock.reading()
         val outcome = components.store.read(Topic.Jobs, position.offset, Duration.ZERO)
         if (outcome !is ReadOutcome.Records || outcome.isOutdated(position.offset)) return false
-        if (!components.jobs.applyNewJobs(position, outcome.records, outcome.nextOffset)) return false
         val reachedEnd = outcome.nextOffset >= outcome.endOffset
-        if (reachedEnd) newJobsAsOf = sentAt
-        return reachedEnd
+        val asOf = sentAt.takeIf { reachedEnd }
+        return components.jobs.applyNewJobs(position, outcome.records, outcome.nextOffset, asOf) && reachedEnd
     }
 
     /** Adds the progress, or its summary, that the log has beyond the job table. */
--- a/node/src/test/kotlin/dogwoodgrade/node/SummaryTableTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/SummaryTableTest.kt
@@ -2,6 +2,7 @@
 
 import dogwoodgrade.ownership.Candidate
 import dogwoodgrade.ownership.CandidateDecision
+import dogwoodgrade.ownership.ClockReading
 import dogwoodgrade.ownership.OwnershipPolicy
 import dogwoodgrade.ownership.OwnershipRecord
 import dogwoodgrade.ownership.decideClaim
@@ -133,6 +134,22 @@
         assertNull(table.readPosition())
     }
 
+    /** Guards against counts from a table that vouches with a read of the table before it. */
+    @Test
+    fun `what a read for callers has proved ends when the table begins to be filled anew`() {
+        val asOf = ClockReading(now, now)
+        fun readForCallers() = table.applyNewJobs(checkNotNull(table.readPosition()), emptyList(), 5, asOf)
+        read(position(5))
+        assertTrue(readForCallers())
+        assertEquals(asOf, table.newJobsAsOf())
+        read(position(5), snapshot = true)
+        assertNull(table.newJobsAsOf())
+        read()
+        assertTrue(readForCallers())
+        table.followRecords()
+        assertNull(table.newJobsAsOf())
+    }
+
     /** Guards against a job that counts as unknown while the changes made during a snapshot are missing. */
     @Test
     fun `a read for callers that began before a snapshot is ignored`() {
