Refuse as unknown only what a configuration of late does not know

What callers saw: nothing so far; an instance that cannot read the log answers 404 and 401 for queues and keys that were added meanwhile, however long ago.

Class of fault: an answer from knowledge that is too old.

Evidence: the test got 404 and 401 from a configuration of unknown age.

Change: a request that the configuration does not know is refused with 503 and Retry-After if the configuration was read to its end more than 3 s ago, or never.

--- a/node/src/main/kotlin/dogwoodgrade/node/CallerHandler.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/CallerHandler.kt
@@ -35,6 +35,9 @@
 /** Age up to which a state that may have changed is shown. A cut of a second or two is no reason to refuse it. */
 private val LONGEST_STATE_AGE: Duration = 3.seconds
 
+/** Age up to which the configuration proves that a queue or a key does not exist. */
+private val LONGEST_CONFIGURATION_AGE: Duration = 3.seconds
+
 /**
  * Answers queries of callers from the tables, and makes their submissions and cancellations durable.
  *
@@ -68,13 +71,11 @@
             configuration.awaitCurrent(LONGEST_CONFIGURATION_WAIT) ?: return refuse("no configuration", request)
         val route = selectRoute(current, request.host, request.path)
         if (route == null) {
-            logger.info { "caller: no queue host=${request.host} path=${request.path} version=${current.version}" }
-            return JobApiReply.NoSuchQueue
+            return refuseUnknown(JobApiReply.NoSuchQueue, "no queue host=${request.host}", request, current)
         }
         val team = request.key?.let { current.keys[it] }
         if (!route.openToAll && team == null) {
-            logger.info { "caller: unknown key queue=${route.queue} path=${request.path} version=${current.version}" }
-            return JobApiReply.UnknownKey
+            return refuseUnknown(JobApiReply.UnknownKey, "unknown key queue=${route.queue}", request, current)
         }
         val name = request.path.removePrefix(route.pathPrefix)
         if (name.isEmpty()) return pending(request, route.queue)
@@ -86,6 +87,21 @@
         }
     }
 
+    /** Returns [reply] to a request that the configuration does not know, unless it may have been replaced since. */
+    private fun refuseUnknown(
+        reply: JobApiReply,
+        reason: String,
+        request: JobApiRequest,
+        current: OperatorConfiguration,
+    ): JobApiReply {
+        val age = ages(clock.reading()).configuration
+        if (!isWithin(age, LONGEST_CONFIGURATION_AGE)) {
+            return refuse("the configuration is not known lately enough, $reason age=$age", request)
+        }
+        logger.info { "caller: $reason path=${request.path} version=${current.version} age=$age" }
+        return reply
+    }
+
     private fun timeLimitOf(request: JobApiRequest): Duration =
         maxOf((request.timeLimit ?: DEFAULT_TIME_LIMIT) - REPLY_MARGIN, REPLY_MARGIN)
 
--- a/node/src/main/kotlin/dogwoodgrade/node/LogFollowers.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/LogFollowers.kt
@@ -43,14 +43,16 @@
 /**
  * Age of what this process knows; `null` if a topic has never been read to its end.
  *
+ * @property configuration age of what operators have published
  * @property jobs age of the accepted jobs and cancellations
  * @property states age of the jobs' states
  */
 internal data class TableAges(
+    val configuration: Duration?,
     val jobs: Duration?,
     val states: Duration?,
 ) {
-    /** Tells whether both are known and at most [limit] old. */
+    /** Tells whether jobs and states are known and at most [limit] old. */
     fun isWithin(limit: Duration): Boolean = isWithin(jobs, limit) && isWithin(states, limit)
 
     override fun toString(): String = "jobs_age=$jobs states_age=$states"
@@ -75,6 +77,8 @@
 ) {
     private val clock = components.clock
 
+    private val configurationFollower = follower(Topic.Operator, { FOLLOWER_READ_PAUSE }) { applyOperatorRecords(it) }
+
     /** Follows the jobs; `null` while this instance follows the summary only. */
     @Volatile
     private var jobFollower: TopicFollower? = null
@@ -86,7 +90,7 @@
 
     /** Starts the coroutines that follow the log. */
     fun start() {
-        scope.launch { follower(Topic.Operator, { FOLLOWER_READ_PAUSE }) { applyOperatorRecords(it) }.run() }
+        scope.launch { configurationFollower.run() }
         scope.launch { followJobs() }
     }
 
@@ -187,12 +191,16 @@
         components.ownership.applyRecords(followed, clock.now())
     }
 
-    /** Returns how old the knowledge of jobs and of their states is at the time [now]. */
+    /** Returns how old the knowledge of configuration, jobs and states is at the time [now]. */
     fun ages(now: ClockReading): TableAges {
         // The owner applies its own appends; a confirmed one proves that no other owner has appended.
         val statesAsOf = listOfNotNull(stateFollower?.currentAsOf, components.ownership.confirmedAt())
         val jobsAsOf = listOfNotNull(jobFollower?.currentAsOf, components.jobs.newJobsAsOf())
-        return TableAges(jobsAsOf.minOfOrNull(now::elapsedSince), statesAsOf.minOfOrNull(now::elapsedSince))
+        return TableAges(
+            configurationFollower.currentAsOf?.let(now::elapsedSince),
+            jobsAsOf.minOfOrNull(now::elapsedSince),
+            statesAsOf.minOfOrNull(now::elapsedSince),
+        )
     }
 
     /** Reads what is older than [FRESH_AGE], and returns the ages after that. */
--- a/node/src/test/kotlin/dogwoodgrade/node/CallerHandlerTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/CallerHandlerTest.kt
@@ -49,7 +49,7 @@
     private val now = ClockReading(Instant.fromEpochMilliseconds(0), Instant.fromEpochMilliseconds(0))
     private val clock = NodeClock({ now.monotonic }, { now.timeOfDay })
     private val jobs = JobTable().apply { followSummary() }
-    private var ages = TableAges(100.milliseconds, 100.milliseconds)
+    private var ages = TableAges(100.milliseconds, 100.milliseconds, 100.milliseconds)
     private val configuration =
         ConfigurationTable().apply {
             val route = QueueRoute("queue", "localhost", "/queue/", false)
@@ -96,4 +96,17 @@
             readSummary(snapshot = false)
             assertEquals(JobApiReply.Pending(1), query("/queue/"))
         }
+
+    /** Guards against 404 and 401 for a queue or a key that was added while the instance could not read the log. */
+    @Test
+    fun `queues and keys are unknown only to a configuration that was read lately`() =
+        runTest {
+            assertEquals(JobApiReply.NoSuchQueue, query("/other/"))
+            assertEquals(JobApiReply.UnknownKey, query("/queue/", key = "key-2"))
+            for (age in listOf(null, 10.seconds)) {
+                ages = ages.copy(configuration = age)
+                assertIs<JobApiReply.NotRun>(query("/other/"))
+                assertIs<JobApiReply.NotRun>(query("/queue/", key = "key-2"))
+            }
+        }
 }
