--- a/node/src/main/kotlin/dogwoodgrade/node/JobTable.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/JobTable.kt
@@ -17,13 +17,15 @@
  * @property jobRecord the accepted job, or `null` if only a cancellation, progress or summary of it has been read
  * @property cancelled whether a cancellation is durable
  * @property progressRecords newest record of each part of the progress, by the number of the part
- * @property published what the summary says of it, or `null` if it was not read from there
+ * @property published queue and state without the records behind them, or `null` if it has these records
+ * @property named whether the summary has named it
  */
 internal data class KnownJob(
     val jobRecord: Lazy<Job?>? = null,
     val cancelled: Boolean = false,
     val progressRecords: Map<Int, RecordedPart> = emptyMap(),
     val published: PublishedState? = null,
+    val named: Boolean = false,
 ) {
     /** The accepted job, or `null` if its record has not been read. */
     val job: Job?
@@ -144,7 +146,11 @@
     }
 
     private fun summaryOf(known: KnownJob): KnownJob =
-        KnownJob(cancelled = known.cancelled, published = known.queue?.let { PublishedState(known.state, it) })
+        KnownJob(
+            cancelled = known.cancelled,
+            published = known.queue?.let { PublishedState(known.state, it) },
+            named = known.named,
+        )
 
     /** Tells whether the table is filled from the summary. */
     @Synchronized
@@ -226,7 +232,8 @@
      * Applies records of the summary.
      *
      * The pages of a snapshot are read one after the other, so that its position may name jobs that an earlier page
-     * lacks. The table is complete when the changes made in the meantime have been read as well.
+     * lacks. The table is complete when the changes made in the meantime have been read as well. A job that was named
+     * before and is not any more has been forgotten; the others were accepted behind the position.
      */
     @Synchronized
     fun applySummary(followed: FollowedRecords) {
@@ -235,7 +242,7 @@
             generation++
             newJobsAsOf = null
             val present = followed.records.mapNotNullTo(mutableSetOf()) { FleetRecords.stateJobOf(it.key) }
-            jobs.entries.removeIf { it.key !in present && it.value.state.ended }
+            jobs.entries.removeIf { it.key !in present && (it.value.named || it.value.state.ended) }
         }
         val positions = followed.records.filter { it.key == FleetRecords.JOBS_POSITION_KEY }
         val position = positions.lastOrNull()?.value?.let { FleetRecords.decodePosition(it) }
@@ -250,9 +257,10 @@
     @Synchronized
     fun applyState(record: KeyedRecord) {
         val identifier = FleetRecords.stateJobOf(record.key) ?: return
-        val published = record.value?.let { FleetRecords.decodeState(it) }
-        if (published != null) {
-            jobs[identifier] = (jobs[identifier] ?: KnownJob()).copy(published = published)
+        val value = record.value
+        if (value != null) {
+            val published = FleetRecords.decodeState(value) ?: return
+            jobs[identifier] = (jobs[identifier] ?: KnownJob()).copy(published = published, named = true)
         } else if (jobs[identifier]?.jobRecord == null) {
             jobs -= identifier
         }
--- a/node/src/test/kotlin/dogwoodgrade/node/SummaryTableTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/SummaryTableTest.kt
@@ -100,6 +100,26 @@
         assertNull(stateOf("b"))
     }
 
+    /** Guards against jobs that count as waiting until a restart because they were forgotten during a cut. */
+    @Test
+    fun `a job that a snapshot no longer names is unknown, whatever its state`() {
+        read(position(1), state("a", JobState.Queued), state("b", JobState.Active), state("c", JobState.Queued))
+        table.addAccepted(job("d"))
+        table.applyJob(jobRecord("e", 1))
+        read(position(2), state("c", JobState.Queued), snapshot = true)
+        assertNull(stateOf("a"))
+        assertNull(stateOf("b"))
+        assertEquals(listOf(JobState.Queued, JobState.Queued, JobState.Queued), listOf("c", "d", "e").map(::stateOf))
+    }
+
+    /** Guards against an accepted job that is unknown because of one record that cannot be decoded. */
+    @Test
+    fun `a malformed state removes no job`() {
+        read(position(1), state("a", JobState.Active))
+        read(KeyedRecord(FleetRecords.stateKey(JobIdentifier("a")), "?".encodeToByteArray(), 1))
+        assertEquals(JobState.Active, stateOf("a"))
+    }
+
     @Test
     fun `states stay known when the table is filled from the summary instead of the records`() {
         table.followRecords()
