--- a/node/src/main/kotlin/dogwoodgrade/node/LogFollowers.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/LogFollowers.kt
@@ -216,8 +216,8 @@
     }
 
     /**
-     * Adds the records that the log has beyond the job table. Callers share a read, since all of them ask for a job that
-     * is missing because this process is behind.
+     * Adds the records that the log has beyond the job table. Callers share a read, since all of them ask for a job
+     * that is missing because this process is behind.
      *
      * Before the table has been complete, the read would begin with the first record of the log and be repeated by each
      * caller, which a narrow link does not carry.
--- a/node/src/test/kotlin/dogwoodgrade/node/CallerHandlerTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/CallerHandlerTest.kt
@@ -78,7 +78,8 @@
     private fun readSummary(snapshot: Boolean) {
         val records =
             listOf(
-                FleetRecords.stateKey(JobIdentifier("a")) to FleetRecords.encode(PublishedState(JobState.Queued, "queue")),
+                FleetRecords.stateKey(JobIdentifier("a")) to
+                    FleetRecords.encode(PublishedState(JobState.Queued, "queue")),
                 FleetRecords.JOBS_POSITION_KEY to FleetRecords.encodePosition(9),
             )
         val read = records.map { (key, value) -> KeyedRecord(key, value, 0) }
--- a/node/src/test/kotlin/dogwoodgrade/node/SharedReadTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/SharedReadTest.kt
@@ -9,7 +9,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 class SharedReadTest {
-    /** Guards against answers from a read that was sent before the caller asked, and against one read for each caller. */
+    /** Guards against answers from a read that was sent before the caller asked, and against a read for each caller. */
     @Test
     fun `callers share the first read that is sent after they have asked`() =
         runTest {
--- a/node/src/test/kotlin/dogwoodgrade/node/SummaryTableTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/SummaryTableTest.kt
@@ -158,6 +158,7 @@
     @Test
     fun `what a read for callers has proved ends when the table begins to be filled anew`() {
         val asOf = ClockReading(now, now)
+
         fun readForCallers() = table.applyNewJobs(checkNotNull(table.readPosition()), emptyList(), 5, asOf)
         read(position(5))
         assertTrue(readForCallers())
--- a/node/src/test/kotlin/dogwoodgrade/node/TopicFollowerTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/TopicFollowerTest.kt
@@ -14,7 +14,6 @@
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
 import kotlin.test.Test
-import kotlin.test.assertEquals
 import kotlin.test.assertNotNull
 import kotlin.test.assertTrue
 import kotlin.time.Duration
@@ -82,7 +81,7 @@
             assertTrue(ageOf(follower) >= 8.seconds)
         }
 
-    /** Guards against counts that pass for fresh because a read of an earlier state of the topic has no records (MIXED). */
+    /** Guards against counts that pass for fresh after a read of an earlier state of the topic (MIXED). */
     @Test
     fun `a read that ends before what was read earlier proves nothing`() =
         runTest {
