Keep the states of jobs that a new owner has not read yet

Cause: a new owner removed from the summary all jobs that it did not have when it loaded its own. The owner before can publish later jobs, with a position behind them, until the first append of the new one fences it. If the store answers that append late, those jobs were removed; an instance that has read the position does not read them again, and lacks them until the new owner has read and published them. Class of fault: what is absent was read as its opposite.

Evidence: the test fails, the state of the job is removed.

Change: the states of unknown jobs are removed when no earlier owner can publish any more and the jobs topic has been read to its end after that.

--- a/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
@@ -137,6 +137,7 @@
             launch { states.run() }
             catchUp()
             loadJobs()
+            launch { removeForgottenStates() }
             workers.start(this)
             val list =
                 TopicFollower(node.store, Topic.Executors, clock, { LIVE_LIST_READ_PAUSE }, node.storeAvailability) {
@@ -163,7 +164,7 @@
         }
     }
 
-    /** Waits until the job table contains all jobs that were appended before the takeover. */
+    /** Waits until the job table contains all jobs that were appended before this call. */
     private suspend fun catchUp() {
         while (true) {
             val from = node.jobs.readTo()
@@ -194,13 +195,20 @@
             val ended = node.jobs.ended()
             // The previous owner may have ended between the append of the progress and that of the state.
             (unfinished.keys + ended).forEach { job -> node.jobs[job]?.let { states.publish(job, it.state) } }
-            states.retain(unfinished.keys + ended)
             states.publishPosition(position)
             schedule.recordEndedJobs(ended, now)
             logger.info { "owner: loaded unfinished=${unfinished.size} ended=${ended.size}" }
         }
     }
 
+    /** Removes the states that an earlier owner has not removed before it ended. */
+    private suspend fun removeForgottenStates() {
+        states.awaitLoaded()
+        catchUp()
+        // Jobs that are read later are published under the same lock, and thus after the removal.
+        fleet.withSchedule { states.retain(node.jobs.unfinished().keys + node.jobs.ended()) }
+    }
+
     private fun configure(schedule: Scheduler) {
         node.configuration.current()?.let { schedule.configure(it.scheduling) }
     }
--- a/node/src/main/kotlin/dogwoodgrade/node/StatePublisher.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/StatePublisher.kt
@@ -9,6 +9,7 @@
 import dogwoodgrade.scheduling.JobIdentifier
 import dogwoodgrade.scheduling.JobState
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
@@ -75,6 +76,7 @@
     private val appends = RepeatedAppend(store, storeAvailability, clock, STATE_RETRY_PAUSE)
     private val changes = Channel<SummaryChange>(Channel.UNLIMITED)
     private val published = mutableMapOf<JobIdentifier, PublishedState>()
+    private val loaded = CompletableDeferred<Unit>()
     private var sequence = 0L
     private var appendedAt = clock.now()
 
@@ -93,7 +95,13 @@
         changes.trySend(SummaryChange.Removed(job))
     }
 
-    /** Removes the states of all jobs but [jobs], which are all that the log has. */
+    /** Waits until no earlier owner can publish any more, and what they have published is known. */
+    suspend fun awaitLoaded() = loaded.await()
+
+    /**
+     * Removes the states of all jobs but [jobs], which are all that the log has. They have to be read after
+     * [awaitLoaded] has returned, because an earlier owner publishes later jobs until then.
+     */
     fun retain(jobs: Set<JobIdentifier>) {
         changes.trySend(SummaryChange.Existing(jobs))
     }
@@ -107,6 +115,7 @@
     suspend fun run() {
         // The first append fences the previous owner, so that what is read after it does not change any more.
         if (!append(emptyList()) || !loadPublished()) return
+        loaded.complete(Unit)
         while (true) {
             val first = withTimeoutOrNull(SIGN_OF_LIFE_INTERVAL) { changes.receive() }
             if (!append(recordsOf(listOfNotNull(first) + waitingChanges()))) return
