Keep the records of the jobs while a claim has no answer

What callers saw: nothing so far; a weak owner can begin a term without any job, remove all of them from the summary, and leave them out of counts (MIXED, LOST).

Cause: while the store has not answered the claim, the instance reads that a stronger one has claimed the next epoch, and changes to the summary. When the answer arrives, the term begins with a table that has no records of jobs, as if the log had none. Until it is fenced it publishes that. Class of fault: what is absent was read as its opposite.

Evidence: the test fails: the owner loads 0 unfinished jobs of 1, and the state of the job is removed.

Change: an instance with a claim under way goes on following the records, as an owner does.

--- a/node/src/main/kotlin/dogwoodgrade/node/LogFollowers.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/LogFollowers.kt
@@ -65,6 +65,7 @@
  * Follows the topics of the log and applies their records to the tables of [components].
  *
  * @param isOwner tells whether this process owns the fleet
+ * @param mayOwn tells whether this process owns the fleet or a claim of it has no answer yet
  * @param onHandoverRequest called after a request for a handover has been read
  */
 internal class LogFollowers(
@@ -73,6 +74,7 @@
     private val policy: OwnershipPolicy,
     private val scope: CoroutineScope,
     private val isOwner: () -> Boolean,
+    private val mayOwn: () -> Boolean,
     private val onHandoverRequest: () -> Unit,
 ) {
     private val clock = components.clock
@@ -134,7 +136,8 @@
         stateFollower = states
         jobFollower = jobs
         follow(states, jobs) { view ->
-            isOwner() || followsProgress(view, candidate, policy) || lacksSummary(view)
+            // A term that begins with a table of the summary would have no jobs.
+            mayOwn() || followsProgress(view, candidate, policy) || lacksSummary(view)
         }
         jobFollower = null
     }
--- a/node/src/main/kotlin/dogwoodgrade/node/Node.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/Node.kt
@@ -127,12 +127,18 @@
             { followers.ages(it) },
         )
     private val followers: LogFollowers =
-        LogFollowers(components, candidate, policy, scope, { session != null }) { session?.resignIfAsked() }
+        LogFollowers(components, candidate, policy, scope, { session != null }, { claiming }) {
+            session?.resignIfAsked()
+        }
     private val server = CallerServer(vertx, scope, handler::handle, ::ready, components.metrics::text)
 
     @Volatile
     private var stopping = false
 
+    /** Whether a claim is under way, or has begun a term that has not ended. */
+    @Volatile
+    private var claiming = false
+
     @Volatile
     private var session: OwnerSession? = null
 
@@ -169,7 +175,11 @@
                 } else {
                     decideClaim(view.copy(recordSince = maxOf(view.recordSince, able)), candidate, policy, clock.now())
                 }
-            if (decision is CandidateDecision.Claim) claim(decision)
+            if (decision is CandidateDecision.Claim) {
+                claiming = true
+                claim(decision)
+                claiming = false
+            }
             if (decision == CandidateDecision.Follow && view != null) askForHandover(view)
             delay(OWNERSHIP_CHECK_PAUSE)
         }
