Let the configuration prove an absence for 2 s only

What callers saw: nothing so far; 404 or 401 for a queue or key that was added more than 2 s ago, from an instance that has lost a read (CONFIG).

Cause: the limit of 3 s was above the time in which the platform expects a configuration to be in force, 2 s on some sites. Found by the reviewer.

A read waits for records for 1.5 s and the next one begins 0.2 s later, so that a connected instance stays below it.

Measured: CallerHandlerTest passes.

--- a/node/src/main/kotlin/dogwoodgrade/node/CallerHandler.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/CallerHandler.kt
@@ -35,8 +35,11 @@
 /** Age up to which a state that may have changed is shown. A cut of a second or two is no reason to refuse it. */
 private val LONGEST_STATE_AGE: Duration = 3.seconds
 
-/** Age up to which the configuration proves that a queue or a key does not exist. */
-private val LONGEST_CONFIGURATION_AGE: Duration = 3.seconds
+/**
+ * Age up to which the configuration proves that a queue or a key does not exist; the platform expects a new one to be
+ * in force everywhere within 2 s.
+ */
+private val LONGEST_CONFIGURATION_AGE: Duration = 2.seconds
 
 /**
  * Answers queries of callers from the tables, and makes their submissions and cancellations durable.
