--- a/node/src/main/kotlin/dogwoodgrade/node/JobTable.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/JobTable.kt
@@ -77,7 +77,7 @@
                 value == null -> jobs -= identifier
                 known?.jobRecord != null -> Unit
                 fromSummary && known?.published != null -> Unit
-                else -> add(identifier, lazy { FleetRecords.decodeJob(identifier, value) })
+                else -> add(identifier, lazy { FleetRecords.decodeJob(identifier, value) }, record.offset)
             }
         }
         FleetRecords.cancelledJobOf(record.key)?.let { identifier ->
@@ -85,8 +85,8 @@
         }
     }
 
-    private fun add(identifier: JobIdentifier, record: Lazy<Job?>) {
-        val added = (jobs[identifier] ?: KnownJob()).copy(jobRecord = record)
+    private fun add(identifier: JobIdentifier, record: Lazy<Job?>, offset: Long?) {
+        val added = (jobs[identifier] ?: KnownJob()).copy(jobRecord = record, recordOffset = offset)
         jobs[identifier] = if (fromSummary) summaryOf(added) else added
     }
 
@@ -180,7 +180,7 @@
     /** Adds a job that this process has made durable. */
     @Synchronized
     fun addAccepted(job: Job) {
-        if (jobs[job.identifier]?.queue == null) add(job.identifier, lazyOf(job))
+        if (jobs[job.identifier]?.queue == null) add(job.identifier, lazyOf(job), offset = null)
     }
 
     /** Marks a job whose cancellation this process has made durable. */
@@ -196,10 +196,22 @@
         if (reachedEnd) complete = true
     }
 
-    /** Drops the jobs that only the summary named, after all records of jobs have been applied. */
+    /**
+     * Drops the jobs that only the summary named, and those whose record was read before [end], after a snapshot of
+     * the jobs topic up to [end] that has only the jobs [present]. The progress of the latter stays, because it is not
+     * read again.
+     */
     @Synchronized
-    fun dropJobsWithoutRecord() {
+    fun dropAbsentJobs(present: Set<JobIdentifier>, end: Long) {
         jobs.entries.removeIf { it.value.published != null && it.value.jobRecord == null }
+        jobs.replaceAll { identifier, known ->
+            val offset = known.recordOffset
+            if (identifier in present || offset == null || offset >= end) {
+                known
+            } else {
+                known.copy(jobRecord = null, recordOffset = null, published = null)
+            }
+        }
     }
 
     /** Returns the position from which new jobs can be read, or `null` if the table is not complete. */
--- a/node/src/main/kotlin/dogwoodgrade/node/KnownJob.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/KnownJob.kt
@@ -12,6 +12,7 @@
  * by a third of a second.
  *
  * @property jobRecord the accepted job, or `null` if only a cancellation, progress or summary of it has been read
+ * @property recordOffset offset of that record in the jobs topic, or `null` if it was not read from there
  * @property cancelled whether a cancellation is durable
  * @property progressRecords newest record of each part of the progress, by the number of the part
  * @property published queue and state without the records behind them, or `null` if it has these records
@@ -19,6 +20,7 @@
  */
 internal data class KnownJob(
     val jobRecord: Lazy<Job?>? = null,
+    val recordOffset: Long? = null,
     val cancelled: Boolean = false,
     val progressRecords: Map<Int, RecordedPart> = emptyMap(),
     val published: PublishedState? = null,
--- a/node/src/main/kotlin/dogwoodgrade/node/LogFollowers.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/LogFollowers.kt
@@ -175,7 +175,10 @@
 
     private fun applyJobRecords(followed: FollowedRecords) {
         followed.records.forEach { components.jobs.applyJob(it) }
-        if (followed.snapshot) components.jobs.dropJobsWithoutRecord()
+        if (followed.snapshot) {
+            val present = followed.records.mapNotNullTo(mutableSetOf()) { FleetRecords.jobOf(it.key) }
+            components.jobs.dropAbsentJobs(present, followed.nextOffset)
+        }
         components.jobs.recordPosition(followed.nextOffset, followed.reachedEnd)
         val identifiers =
             followed.records.mapNotNullTo(mutableSetOf()) {
--- a/node/src/test/kotlin/dogwoodgrade/node/SummaryTableTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/SummaryTableTest.kt
@@ -190,7 +190,7 @@
         read(position(5), state("a", JobState.Queued), state("b", JobState.Queued))
         table.followRecords()
         table.applyJob(jobRecord("b"))
-        table.dropJobsWithoutRecord()
+        table.dropAbsentJobs(setOf(JobIdentifier("b")), 5)
         assertNull(stateOf("a"))
         assertEquals(JobState.Queued, stateOf("b"))
     }
--- a/node/src/test/kotlin/dogwoodgrade/node/TablesTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/TablesTest.kt
@@ -132,6 +132,21 @@
         assertEquals(JobState.Completed, table[identifier]?.state)
     }
 
+    /** Guards against a job that a new owner runs again because it was forgotten during a cut. */
+    @Test
+    fun `a job whose record a snapshot lacks is neither counted nor scheduled`() {
+        val table = JobTable()
+        table.applyJob(jobRecord())
+        table.dropAbsentJobs(setOf(identifier), 1)
+        assertEquals(1, table.unfinished().size)
+        table.dropAbsentJobs(emptySet(), 1)
+        assertNull(table[identifier])
+        assertEquals(0, table.countPending("queue").pending + table.unfinished().size)
+        table.addAccepted(job)
+        table.dropAbsentJobs(emptySet(), 9)
+        assertEquals(1, table.countPending("queue").pending)
+    }
+
     @Test
     fun `older progress that is read back does not replace newer progress`() {
         val table = JobTable()
