Remove states that an outdated page of the jobs has brought back

An owner that reads one while it forgets a job (records trimmed before they were read) applies the job's record once more and publishes it as queued, after its state was removed. The removal is read afterwards and leaves the job table only, so that weak instances count the job until the next takeover.

Change: an owner that reads a job which its table does not have (any more) removes its state, if it has published one.

The scheduler still keeps such a job as accepted, so that it may run again; this is not changed here.

--- a/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/OwnerSession.kt
@@ -211,7 +211,12 @@
         fleet.withSchedule { schedule ->
             configure(schedule)
             for (identifier in identifiers) {
-                val knownJob = node.jobs[identifier] ?: continue
+                val knownJob = node.jobs[identifier]
+                if (knownJob == null) {
+                    // A snapshot whose pages were read while the job was removed may have brought its state back.
+                    states.remove(identifier)
+                    continue
+                }
                 // A damaged record is logged where it is decoded.
                 val job = knownJob.job ?: continue
                 states.publishAccepted(identifier, job.queue)
--- a/node/src/main/kotlin/dogwoodgrade/node/StatePublisher.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/StatePublisher.kt
@@ -212,8 +212,7 @@
     }
 
     private fun remove(job: JobIdentifier, records: MutableMap<String, ByteArray?>) {
-        published -= job
-        records[FleetRecords.stateKey(job)] = null
+        if (published.remove(job) != null) records[FleetRecords.stateKey(job)] = null
     }
 
     private fun put(job: JobIdentifier, state: JobState, queue: String, records: MutableMap<String, ByteArray?>) {
