--- a/node/src/test/kotlin/dogwoodgrade/node/CallerHandlerTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/CallerHandlerTest.kt
@@ -1,51 +1,31 @@
 package dogwoodgrade.node
 
 import dogwoodgrade.ownership.ClockReading
-import dogwoodgrade.platform.AppendOutcome
 import dogwoodgrade.platform.JobApiReply
 import dogwoodgrade.platform.JobApiRequest
 import dogwoodgrade.platform.JobOperation
 import dogwoodgrade.platform.KeyedRecord
-import dogwoodgrade.platform.LogStore
 import dogwoodgrade.platform.OperatorConfiguration
 import dogwoodgrade.platform.OperatorRecord
-import dogwoodgrade.platform.Producer
 import dogwoodgrade.platform.QueueRoute
-import dogwoodgrade.platform.ReadOutcome
-import dogwoodgrade.platform.SnapshotOutcome
-import dogwoodgrade.platform.StoreLimits
-import dogwoodgrade.platform.Topic
+import dogwoodgrade.platform.standin.MemoryStore
+import dogwoodgrade.platform.standin.MemoryTopics
 import dogwoodgrade.scheduling.JobIdentifier
 import dogwoodgrade.scheduling.JobState
 import dogwoodgrade.scheduling.SchedulingConfiguration
 import io.vertx.core.buffer.Buffer
+import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.test.runTest
+import kotlin.coroutines.EmptyCoroutineContext
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
 /** Tests what callers are told when a table is not complete, or too old to tell. */
 class CallerHandlerTest {
-    private object UnreachableStore : LogStore {
-        override val limits = StoreLimits()
-
-        override suspend fun append(
-            topic: Topic,
-            records: List<Pair<String, ByteArray?>>,
-            producer: Producer?,
-            expectedEnd: Long?,
-            timeout: Duration,
-        ): AppendOutcome = AppendOutcome.NotAppended("unreachable")
-
-        override suspend fun read(topic: Topic, from: Long, wait: Duration) = ReadOutcome.Failed("unreachable")
-
-        override suspend fun newest(topic: Topic, after: String?) = SnapshotOutcome.Failed("unreachable")
-    }
-
     private val now = ClockReading(Instant.fromEpochMilliseconds(0), Instant.fromEpochMilliseconds(0))
     private val clock = NodeClock({ now.monotonic }, { now.timeOfDay })
     private val jobs = JobTable().apply { followSummary() }
@@ -63,7 +43,12 @@
         CallerHandler(
             configuration,
             jobs,
-            JobIntake(UnreachableStore, "entry", clock, StoreAvailability(2.seconds)),
+            JobIntake(
+                MemoryStore(MemoryTopics(), CoroutineScope(EmptyCoroutineContext)),
+                "entry",
+                clock,
+                StoreAvailability(2.seconds),
+            ),
             clock,
             NodeMetrics(),
             { true },
--- a/node/src/test/kotlin/dogwoodgrade/node/TopicFollowerTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/TopicFollowerTest.kt
@@ -1,13 +1,10 @@
 package dogwoodgrade.node
 
 import dogwoodgrade.ownership.ClockReading
-import dogwoodgrade.platform.AppendOutcome
-import dogwoodgrade.platform.LogStore
-import dogwoodgrade.platform.Producer
-import dogwoodgrade.platform.ReadOutcome
-import dogwoodgrade.platform.SnapshotOutcome
-import dogwoodgrade.platform.StoreLimits
 import dogwoodgrade.platform.Topic
+import dogwoodgrade.platform.standin.CallCourse
+import dogwoodgrade.platform.standin.MemoryStore
+import dogwoodgrade.platform.standin.MemoryTopics
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
@@ -23,23 +20,6 @@
 
 /** Tests which reads prove up to what time a follower has the records of its topic. */
 class TopicFollowerTest {
-    /** A store that is only read, each time as [read] says. */
-    private class ReadStore(private val read: suspend (Long) -> ReadOutcome) : LogStore {
-        override val limits = StoreLimits()
-
-        override suspend fun append(
-            topic: Topic,
-            records: List<Pair<String, ByteArray?>>,
-            producer: Producer?,
-            expectedEnd: Long?,
-            timeout: Duration,
-        ): AppendOutcome = AppendOutcome.NotAppended("not needed")
-
-        override suspend fun read(topic: Topic, from: Long, wait: Duration) = read(from)
-
-        override suspend fun newest(topic: Topic, after: String?) = SnapshotOutcome.Page(emptyList(), END, null)
-    }
-
     /** Time by which the time of day is ahead of the monotonic clock. */
     private var suspension = Duration.ZERO
 
@@ -54,26 +34,27 @@
         return clock().reading().elapsedSince(asOf)
     }
 
-    private fun TestScope.follow(read: suspend (Long) -> ReadOutcome): TopicFollower {
+    private fun TestScope.follow(course: () -> CallCourse): TopicFollower {
+        val store = MemoryStore(MemoryTopics(), backgroundScope) { _, _ -> course() }
         val pause = { 200.milliseconds }
         val follower =
-            TopicFollower(ReadStore(read), Topic.States, clock(), pause, StoreAvailability(2.seconds)) { }
+            TopicFollower(store, Topic.States, clock(), pause, StoreAvailability(2.seconds)) { }
         backgroundScope.launch { follower.run() }
+        backgroundScope.launch {
+            while (true) {
+                store.append(Topic.States, listOf("key" to null))
+                delay(100.milliseconds)
+            }
+        }
         return follower
     }
 
-    private fun nothingNew(from: Long, end: Long = from) = ReadOutcome.Records(emptyList(), from, end)
-
     /** Guards against counts from before a suspension, during which the monotonic clock stands still (MIXED). */
     @Test
     fun `knowledge from before a suspension is as old as the suspension was long`() =
         runTest {
             var silent = false
-            val follower =
-                follow { from ->
-                    delay(if (silent) 10.seconds else 5.milliseconds)
-                    nothingNew(from)
-                }
+            val follower = follow { CallCourse(response = if (silent) 10.seconds else 5.milliseconds) }
             delay(1.seconds)
             assertTrue(ageOf(follower) < 300.milliseconds)
             silent = true
@@ -85,16 +66,8 @@
     @Test
     fun `a read that ends before what was read earlier proves nothing`() =
         runTest {
-            val follower =
-                follow { from ->
-                    delay(5.milliseconds)
-                    nothingNew(from, end = if (currentTime < 1000) from else from - 1)
-                }
+            val follower = follow { CallCourse(outdated = currentTime >= 1000) }
             delay(4.seconds)
             assertTrue(ageOf(follower) >= 3.seconds)
         }
-
-    private companion object {
-        const val END = 7L
-    }
 }
