--- a/node/src/main/kotlin/dogwoodgrade/node/JobTable.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/JobTable.kt
@@ -200,18 +200,25 @@
      * Drops the jobs that only the summary named, and those whose record was read before [end], after a snapshot of
      * the jobs topic up to [end] that has only the jobs [present]. The progress of the latter stays, because it is not
      * read again.
+     *
+     * @return the jobs whose record was dropped
      */
     @Synchronized
-    fun dropAbsentJobs(present: Set<JobIdentifier>, end: Long) {
+    fun dropAbsentJobs(present: Set<JobIdentifier>, end: Long): Set<JobIdentifier> {
         jobs.entries.removeIf { it.value.published != null && it.value.jobRecord == null }
-        jobs.replaceAll { identifier, known ->
-            val offset = known.recordOffset
-            if (identifier in present || offset == null || offset >= end) {
-                known
-            } else {
+        val absent =
+            jobs
+                .filter { (identifier, known) ->
+                    val offset = known.recordOffset
+                    identifier !in present && offset != null && offset < end
+                }.keys
+                .toSet()
+        absent.forEach { job ->
+            jobs.computeIfPresent(job) { _, known ->
                 known.copy(jobRecord = null, recordOffset = null, published = null)
             }
         }
+        return absent
     }
 
     /** Returns the position from which new jobs can be read, or `null` if the table is not complete. */
--- a/node/src/main/kotlin/dogwoodgrade/node/LogFollowers.kt
+++ b/node/src/main/kotlin/dogwoodgrade/node/LogFollowers.kt
@@ -176,16 +176,18 @@
 
     private fun applyJobRecords(followed: FollowedRecords) {
         followed.records.forEach { components.jobs.applyJob(it) }
-        if (followed.snapshot) {
-            val present = followed.records.mapNotNullTo(mutableSetOf()) { FleetRecords.jobOf(it.key) }
-            components.jobs.dropAbsentJobs(present, followed.nextOffset)
-        }
-        components.jobs.recordPosition(followed.nextOffset, followed.reachedEnd)
         val identifiers =
             followed.records.mapNotNullTo(mutableSetOf()) {
                 FleetRecords.jobOf(it.key) ?: FleetRecords.cancelledJobOf(it.key)
             }
-        if (followed.records.isNotEmpty()) components.onJobRecords?.invoke(identifiers, followed.nextOffset)
+        if (followed.snapshot) {
+            val present = followed.records.mapNotNullTo(mutableSetOf()) { FleetRecords.jobOf(it.key) }
+            identifiers += components.jobs.dropAbsentJobs(present, followed.nextOffset)
+        }
+        components.jobs.recordPosition(followed.nextOffset, followed.reachedEnd)
+        if (followed.records.isNotEmpty() || identifiers.isNotEmpty()) {
+            components.onJobRecords?.invoke(identifiers, followed.nextOffset)
+        }
         val requests = followed.records.filter { it.key == FleetRecords.HANDOVER_KEY }
         requests.mapNotNull { it.value?.let(FleetRecords::decodeHandover) }.forEach(components.ownership::applyHandover)
         if (requests.isNotEmpty()) onHandoverRequest()
--- a/node/src/test/kotlin/dogwoodgrade/node/WaitingCountHistoryTest.kt
+++ b/node/src/test/kotlin/dogwoodgrade/node/WaitingCountHistoryTest.kt
@@ -42,19 +42,21 @@
  */
 @OptIn(ExperimentalCoroutinesApi::class)
 class WaitingCountHistoryTest {
-    private val seeds = Integer.getInteger("history.seeds", 3)
-    private val first = Integer.getInteger("history.first", 1)
+    private val seeds: List<Int> =
+        Integer.getInteger("history.seeds")?.let { count ->
+            List(count) { Integer.getInteger("history.first", 1) + it }
+        } ?: ((1..3) + FAILED_SEEDS)
 
     @Test
     fun `counts and states are never those of an incomplete or an old table`() {
         val logger = LoggerFactory.getLogger("dogwoodgrade") as Logger
         // The log of a single history is kept, to find the cause of a failure.
-        if (seeds > 1) logger.level = Level.OFF
+        if (seeds.size > 1) logger.level = Level.OFF
         val vertx = Vertx.vertx()
         val failures = mutableListOf<String>()
         var asked = 0
         var counted = 0
-        for (seed in first..<first + seeds) {
+        for (seed in seeds) {
             runTest(timeout = 5.minutes) {
                 val history = History(this, vertx, seed).apply { play() }
                 asked += history.calmQuestions
@@ -64,8 +66,8 @@
         }
         vertx.close()
         logger.level = null
-        println("histories=$seeds failed=${failures.size} calm_questions=$asked calm_counts=$counted")
-        assertTrue(failures.isEmpty(), "${failures.size} of $seeds histories\n" + failures.joinToString("\n"))
+        println("histories=${seeds.size} failed=${failures.size} calm_questions=$asked calm_counts=$counted")
+        assertTrue(failures.isEmpty(), "${failures.size} of ${seeds.size} histories\n" + failures.joinToString("\n"))
         assertTrue(counted > asked * 9 / 10, "$counted of $asked counts were answered in calm phases")
     }
 
@@ -344,6 +346,12 @@
     }
 
     private companion object {
+        /**
+         * Histories that have failed. 1166: states of jobs that only a later snapshot of the jobs shows as removed stay
+         * in the summary.
+         */
+        val FAILED_SEEDS = listOf(1166)
+
         /** Chance of a waiting job to start at each decision of the owner, in thousandths, by queue. */
         val START_CHANCES = mapOf("short" to 150, "medium" to 20, "long" to 3)
         const val PHASES = 5
