Let a case of the review that is not built end with status 2

Without its stand-ins, the Java virtual machine ended with status 1, which stands for a broken rule. Same for an error in a stand-in.

--- a/review/stand-ins-2/Case.java
+++ b/review/stand-ins-2/Case.java
@@ -24,7 +24,7 @@
             record.line(fault == null ? "the rule held" : "BROKEN: " + fault);
             System.out.println(fault == null ? "the rule held" : "broken: " + fault);
             status = fault == null ? 0 : 1;
-        } catch (Exception failure) {
+        } catch (Throwable failure) {
             failure.printStackTrace();
             if (record != null) record.line("the case could not run: " + failure);
         }
