--- a/review/stand-ins-2/UpkeepAfterTakeover.java
+++ b/review/stand-ins-2/UpkeepAfterTakeover.java
@@ -18,15 +18,18 @@
         sleep(3);
         Fleet.Node owner = fleet.nodes.get(fleet.owner());
         Fleet.Node other = fleet.nodes.values().stream().filter(node -> node != owner).findFirst().orElseThrow();
-        fleet.tasksOf(JOB, new Worker.Behavior(600, false));
+        fleet.tasksOf(JOB, new Worker.Behavior(3000, false));
         Object step = Json.of("count", 3, "cpu", 6900, "mem-mb", 9900, "estimate-ms", 600, "affinity", "r1-2",
                 "anti-affinity", 1);
         Map<String, Object> job = Json.of("spec", "bid", "steps", List.of(step));
         if (fleet.request(other, "POST", "/puxa400/" + JOB, Fleet.TENANT_KEY, job).status != 200) {
             throw new IllegalStateException("the job was not accepted");
         }
-        sleep(0.2);
-        if (fleet.runsOf(JOB).size() != 3) throw new IllegalStateException("the job does not run");
+        double until = record.seconds() + 3;
+        while (fleet.runsOf(JOB).size() != 3) {
+            if (record.seconds() > until) throw new IllegalStateException("the job does not run");
+            sleep(0.01);
+        }
         if (trouble) fleet.machines.delayNextUpkeep("m-1", LATE_SECONDS);
         fleet.requestWave(1, (int) WAVE_SECONDS, CAP, List.of("m-2", "m-3", "m-4", "m-1"));
         double askedAt = record.seconds();
@@ -35,6 +38,7 @@
                 if (record.seconds() > askedAt + 3) throw new IllegalStateException("no order for m-1 came first");
                 sleep(0.01);
             }
+            fleet.tasksOf(JOB, new Worker.Behavior(0, false));
             sleep(0.5);
             record.line("SIGTERM to " + owner.name);
             owner.process.destroy();
