--- a/review/stand-ins-2/TwiceAfterRestart.java
+++ b/review/stand-ins-2/TwiceAfterRestart.java
@@ -9,7 +9,7 @@
     private static final String FIRST_JOB = "0a5d3c71be9f8426";
     private static final String JOB = "b16e90f4d75a2c38";
     private static final int TASKS = 3;
-    private static final long FIRST_BEAT_MILLIS = 1200;
+    private static final long FIRST_BEAT_MILLIS = 1400;
 
     public static void main(String[] arguments) {
         new TwiceAfterRestart().run(arguments[0]);
